--- /dev/null
+++ b/cometseam/interface.py
@@ -0,0 +1,284 @@
+"""What the decision module is told and what it asks for: settings, events, actions and outcomes.
+
+Times are milliseconds with fractions. Ids of pulls, caches and objects are whole numbers chosen by
+the other side. Nothing in this file decides anything.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum, StrEnum
+
+
+class Outcome(IntEnum):
+    """How a relay ended."""
+
+    OK = 0
+    MISS = 1
+    MOOT = 2
+    CANCELLED = 3
+    RESET = 4
+    CONNECT_FAILED = 5
+    TIMEOUT = 6
+    FULL = 7
+    ERROR = 8
+
+
+class Remark(IntEnum):
+    """What an answer tells of how it came about; NONE where nothing is told."""
+
+    NONE = 0
+    HIT = 1
+    FILLED = 2
+    FILLED_FROM_ORIGIN = 3
+    JOINED = 4
+    STALE = 5
+    SOURCE_REFUSED = 6
+    SOURCE_BROKE = 7
+    SOURCE_LACKS = 8
+    NO_PLACE = 9
+    ORIGIN_FAILED = 10
+
+
+class Effect(StrEnum):
+    """Whether a pull of a workload may run again."""
+
+    REPEATABLE = "repeatable"
+    TAGGED = "tagged"
+    ONCE_ONLY = "once-only"
+
+
+class Group(StrEnum):
+    """The caches that drop each other's repeats of a tagged pull."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class ListKind(IntEnum):
+    """What a `Members` event holds."""
+
+    CHANGES = 0
+    CACHED = 1
+    FAILED = 2
+    FULL = 3
+
+
+class Lifecycle(IntEnum):
+    """Where a listed cache stands."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """One kind of pull."""
+
+    quoted: float
+    stretch: float
+    cut_off: float
+    gain: float
+    effect: Effect
+    group: Group
+    window: float
+    write: bool
+    fresh: float
+    grace: float
+    stale_gain: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a front is handed at start; only what the decisions read."""
+
+    workloads: tuple[Workload, ...]
+    zone: int
+    hub_of: tuple[int, ...]
+    fronts_by_zone: tuple[int, ...]
+    fronts: int
+    parent_kind: int
+    origin_kind: int
+    asks_for_list: bool
+    sized: bool
+    report: tuple[str, ...]
+    probes: bool
+    recalls: bool
+    tells_retry: bool
+    longest_retry: float
+    relay_limit: int
+    joins: bool
+    bypass: bool
+    siblings: str
+    tells: str
+    pace: float
+    cold_from: float
+    warm_after: float
+    fall_multiple: float
+    fall_time: float
+    parent_cold_from: float
+    parent_warm_after: float
+    parent_fall_multiple: float
+    origin_fall_multiple: float
+    purge_takes: float
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One line of the list of caches; parents and the origin are lines of it too."""
+
+    cache: int
+    lifecycle: Lifecycle
+    ready_at: float
+    cell: int
+    zone: int
+    kind: int
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Members:
+    """The list of caches, or what has changed in it."""
+
+    kind: ListKind
+    entries: tuple[Listed, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """A client wants one part of an object; the front now owes one final answer."""
+
+    id: int
+    object: int
+    part: int
+    workload: int
+    left: float
+    write: bool
+    size_kb: float
+    group: int
+
+
+@dataclass(frozen=True, slots=True)
+class Began:
+    """A relay's answer has begun to stream; the relay now belongs to the client."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A relay has ended."""
+
+    id: int
+    relay: int
+    cache: int
+    outcome: Outcome
+    remark: Remark
+    took: float
+    waited: float
+    closed: bool
+    load: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HungUp:
+    """The client has gone; no answer is owed any more."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rang:
+    """A timer has come due."""
+
+    mark: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """A probe has ended."""
+
+    cache: int
+    outcome: Outcome
+    load: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Purged:
+    """An object, or with object 0 a whole group, was purged `age` ago."""
+
+    object: int
+    group: int
+    age: float
+
+
+Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """Ask `cache` for the copy; where it lacks one it fills from `source` (itself: it does not fill)."""
+
+    id: int
+    cache: int
+    source: int
+    rank: int
+    join: bool
+    only_held: bool
+    parent_keeps_none: bool
+    renew: bool
+    time_out: float
+    oldest: float
+
+
+@dataclass(frozen=True, slots=True)
+class Shed:
+    """Final answer: not done, and trying again is harmless."""
+
+    id: int
+    come_back_in: float
+
+
+@dataclass(frozen=True, slots=True)
+class Error:
+    """Final answer: not done, and nothing is promised about what ran."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """Stop waiting for a relay."""
+
+    id: int
+    relay: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Ask for a `Rang` with this mark."""
+
+    mark: int
+    after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a cache for its load."""
+
+    cache: int
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Ask for changes of the list from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """A line for the operators' log."""
+
+    text: str
+
+
+Action = Relay | Shed | Error | Recall | Wake | Probe | Watch | Say
--- /dev/null
+++ b/cometseam/logic.py
@@ -0,0 +1,503 @@
+"""Every decision of the router: which cache a pull goes to, what fills it, what is kept, when to stop.
+
+A caller makes one `Front` for each front, with the seed and the settings it was handed at start, then
+passes each event with the time to `handle` and carries out the actions that come back, in order. The
+events, the actions and the outcomes are in `cometseam.interface`. Nothing is shared between fronts.
+"""
+
+from bisect import bisect_right
+from collections import OrderedDict, deque
+from collections.abc import Generator, Iterator
+from math import log
+from random import Random
+
+from cometseam.interface import (
+    Action, Began, Effect, Ended, Error, Event, Group, HungUp, Lifecycle, Listed, ListKind, Members, Outcome,
+    Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch, Workload,
+)  # fmt: skip
+
+TRACKED = 6000  # objects' parts whose requests are remembered
+GAPS = 6  # gaps remembered for each of them
+GAP_FLOOR = 250.0  # ms; closer requests count as this far apart: a client's retries are no popularity
+VALUES = 600  # recent values that are cut in thirds
+RECUT = 50  # values between two cuts
+FIRST_CREDIT, CREDIT, MOST_CREDIT = 1.0, 0.1, 4.0  # at the start, for each good answer, at most
+LEAST_LIMIT, UNSIZED_LIMIT = 2.0, 8.0  # relays out at a cache: at least, and at first with sizes untold
+CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
+COLD_PART = 0.6  # share of a cold cache's budget that is used: sizes and weights are not exact
+BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
+LOOK = 300.0  # ms past a relay's expected time before its cache's silence is looked at
+ASK = 1 << 60  # timer mark for asking for the list again; pulls' ids stay below it
+NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
+SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE, Remark.ORIGIN_FAILED)
+WORD = (1 << 64) - 1
+
+
+def mix(wanted: int, cache: int) -> int:
+    """Hash an object with a cache; all fronts agree on it."""
+    word = (wanted * 0x9E3779B97F4A7C15 + cache * 0xC2B2AE3D27D4EB4F + 0x165667B19E3779F9) & WORD
+    word = (word ^ word >> 30) * 0xBF58476D1CE4E5B9 & WORD
+    word = (word ^ word >> 27) * 0x94D049BB133111EB & WORD
+    return word ^ word >> 31
+
+
+class Server:
+    """One start of a cache, a parent or the origin, as this front knows it."""
+
+    __slots__ = ("answered", "credit", "cut_at", "limit", "most", "out", "sick_until", "spent", "started",
+                 "strikes", "told", "weight")  # fmt: skip
+
+    def __init__(self, told: Listed, weight: float, limit: float) -> None:
+        self.told, self.weight, self.started = told, weight, told.ready_at
+        self.out = 0
+        self.limit, self.most = limit, 4.0 * limit
+        self.credit = FIRST_CREDIT
+        self.answered = self.cut_at = self.sick_until = 0.0
+        self.strikes = 0
+        self.spent: deque[list[float]] = deque()  # [time, work] sent; what is older than a window leaves
+
+
+class Track:
+    """When one part of an object was asked for lately."""
+
+    __slots__ = ("gaps", "last", "workload")
+
+    def __init__(self, now: float, workload: int) -> None:
+        self.last, self.workload = now, workload
+        self.gaps: deque[float] = deque(maxlen=GAPS)
+
+
+class Held:
+    """A pull that is owed its final answer, or whose relay is still out."""
+
+    __slots__ = ("booked", "course", "cut_off", "look_at", "maybe", "open", "out", "pull", "quoted_by",
+                 "relays", "sending", "sent_at", "source", "streams", "target", "workload")  # fmt: skip
+
+    def __init__(self, pull: Pull, workload: Workload, now: float, pace: float) -> None:
+        self.pull, self.workload = pull, workload
+        self.cut_off = now + pull.left
+        self.sending = pull.size_kb / pace if pace else 0.0
+        self.quoted_by = now + min(workload.quoted + workload.stretch * self.sending, pull.left)
+        self.relays = 0
+        self.out, self.open, self.streams = False, True, False
+        self.target: Server | None = None
+        self.source: Server | None = None
+        self.sent_at = self.look_at = 0.0
+        self.booked: list[float] = [0.0, 0.0]
+        self.maybe: tuple[float, Listed, int] | None = None  # when, where, by which relay it may have run
+        self.course: Course
+
+
+Way = tuple[Server, Server, int]  # the cache to ask, the source of a fill, the rank to keep it at
+Course = Generator[Way, Ended | None, None]
+
+
+class Front:
+    """One front: what it was told, what it saw, and the pulls it holds."""
+
+    def __init__(self, seed: int, settings: Settings) -> None:
+        self.settings = settings
+        self.random = Random(seed)
+        self.now = 0.0
+        self.actions: list[Action] = []
+        self.held: dict[int, Held] = {}  # a pull leaves when it is answered and none of its relays is out
+        self.servers: dict[int, Server] = {}  # as the list has them; what is gone or draining leaves
+        self.edges: list[Server] = []  # the caches of this zone, the parents by nearness, the origin
+        self.parents: list[list[Server]] = [[], []]
+        self.origin: Server | None = None
+        self.tracks: OrderedDict[int, Track] = OrderedDict()  # past TRACKED the longest unasked leaves
+        self.tracked = [0] * len(settings.workloads)
+        self.values: deque[float] = deque(maxlen=VALUES)
+        self.cuts = [0.0, 0.0]
+        self.uncut = 0
+        self.mean_sending = [workload.quoted for workload in settings.workloads]
+        self.purged: dict[tuple[int, int], tuple[float, float]] = {}  # made, void; a new one clears these
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take in one event and tell what to do."""
+        self.now, self.actions = now, []
+        match event:
+            case Pull():
+                self._take(event)
+            case Ended():
+                self._ended(event)
+            case Rang():
+                self._rang(event.mark)
+            case Members():
+                self._members(event)
+            case HungUp():
+                self._hung_up(event.id)
+            case Began():
+                if event.id in self.held:
+                    self.held[event.id].streams = True
+            case Purged():
+                self._purge(event)
+        return self.actions
+
+    # The list of caches
+
+    def _members(self, event: Members) -> None:
+        if event.kind is ListKind.CACHED and self.settings.asks_for_list:
+            self.actions.append(Watch())
+        if event.kind is ListKind.FAILED:
+            # A list service that is overrun must not be asked by all fronts at once again.
+            self.actions.append(Wake(ASK, 500.0 + 1000.0 * self.random.random()))
+            return
+        if event.kind is not ListKind.CHANGES:
+            listed = {entry.cache for entry in event.entries}
+            self.servers = {cache: server for cache, server in self.servers.items() if cache in listed}
+        for entry in event.entries:
+            self._listed(entry)
+        s = self.settings
+        by_id = [self.servers[cache] for cache in sorted(self.servers)]
+        parents = [server for server in by_id if server.told.kind == s.parent_kind]
+        hub = s.hub_of[s.zone] if s.zone < len(s.hub_of) else -1
+        near = [parent for parent in parents if parent.told.zone == hub]
+        self.parents = [near, [parent for parent in parents if parent not in near]]
+        self.origin = next((server for server in by_id if server.told.kind == s.origin_kind), None)
+        upper = (s.parent_kind, s.origin_kind)
+        self.edges = [e for e in by_id if e.told.zone == s.zone and e.told.kind not in upper]
+
+    def _listed(self, entry: Listed) -> None:
+        known = self.servers.pop(entry.cache, None)
+        if entry.lifecycle is not Lifecycle.READY:
+            return
+        weight = entry.weight if self.settings.sized and entry.weight > 0 else 1.0
+        if known and known.started == entry.ready_at:
+            known.told, known.weight = entry, weight
+            self.servers[entry.cache] = known
+            return
+        limit = weight if self.settings.sized else UNSIZED_LIMIT
+        fresh = Server(entry, weight, max(limit / self._sharing(entry), LEAST_LIMIT))
+        if known:  # what reached a restarted cache before its start was told counts against its budget
+            fresh.spent = known.spent
+        self.servers[entry.cache] = fresh
+
+    def _sharing(self, entry: Listed) -> int:
+        """Tell how many fronts send to it."""
+        s = self.settings
+        if entry.kind in (s.parent_kind, s.origin_kind) or entry.zone >= len(s.fronts_by_zone):
+            return max(s.fronts, 1)
+        return max(s.fronts_by_zone[entry.zone], 1)
+
+    def _purge(self, event: Purged) -> None:
+        self.purged = {what: times for what, times in self.purged.items() if times[1] > self.now}
+        what = (event.object, -1) if event.object else (0, event.group)
+        self.purged[what] = (self.now - event.age, self.now + self.settings.purge_takes)
+
+    # The value of an object, and the rank that it earns
+
+    def _rank(self, held: Held) -> int:
+        """Tell the rank at which the pull's copy is kept; 0 is not kept."""
+        pull = held.pull
+        if held.workload.write or pull.write:
+            return 0
+        key = pull.object << 16 | pull.part
+        track = self.tracks.get(key)
+        if track is None:
+            self.tracks[key] = Track(self.now, pull.workload)
+            self.tracked[pull.workload] += 1
+            if len(self.tracks) > TRACKED:
+                self.tracked[self.tracks.popitem(last=False)[1].workload] -= 1
+            return 0
+        self.tracks.move_to_end(key)
+        track.gaps.append(max(self.now - track.last, GAP_FLOOR))
+        track.last = self.now
+        size = max(pull.size_kb * 1024.0, 3.0)
+        value = (2.0 + size / 536.0) / log(size) * self.tracked[track.workload] / len(self.tracks)
+        value *= sum(1000.0 / gap for gap in track.gaps)
+        self.values.append(value)
+        self.uncut -= 1
+        if self.uncut < 0:
+            self.uncut = RECUT
+            ordered = sorted(self.values)
+            self.cuts = [ordered[len(ordered) // 3], ordered[2 * len(ordered) // 3]]
+        return 1 + bisect_right(self.cuts, value)
+
+    # A pull's course
+
+    def _take(self, pull: Pull) -> None:
+        if pull.workload >= len(self.settings.workloads) or pull.id in self.held:
+            self.actions.append(Error(pull.id))
+            return
+        held = Held(pull, self.settings.workloads[pull.workload], self.now, self.settings.pace)
+        self.mean_sending[pull.workload] += 0.02 * (held.sending - self.mean_sending[pull.workload])
+        self.held[pull.id] = held
+        held.course = self._course(held)
+        self._advance(held, None)
+
+    def _course(self, held: Held) -> Course:
+        rank = self._rank(held)
+        while True:
+            ended = None
+            for target, source in self._ways(held):
+                ended = yield target, source, rank
+                if ended is not None:
+                    break
+            if ended is None or not held.open:
+                return
+            if self.now + held.sending > held.cut_off:
+                return  # no relay could finish any more: the client is told at once
+
+    def _advance(self, held: Held, ended: Ended | None) -> None:
+        """Resume a pull's course until one of its ways is sent or it has none left."""
+        try:
+            way = held.course.send(ended)
+            while not self._send(held, *way):
+                way = held.course.send(None)
+        except StopIteration:
+            if held.open:
+                self._answer(held)
+            if not held.out:
+                self.held.pop(held.pull.id, None)
+
+    def _ways(self, held: Held) -> Iterator[tuple[Server, Server]]:
+        """Tell where the pull may go, best first."""
+        wanted = held.pull.object
+        edges = sorted(self.edges, key=lambda edge: self._draw(wanted, edge), reverse=True)
+        well = [edge for edge in edges if self._well(edge) and (not held.relays or edge.credit >= 1.0)]
+        # A hot object, or a cache that is slow, must not jam one link while others have room: a cache at its
+        # limit passes the pull on in hash order, and takes it back when relays have ended.
+        room = [edge for edge in well if edge.out + 1 <= edge.limit]
+        rest = sorted((edge for edge in well if edge not in room), key=lambda edge: edge.out / edge.limit)
+        if not room and rest and not held.relays:
+            # Overload: what cannot be answered by its quoted time would only slow down the others.
+            slowed = held.sending * (rest[0].out + 1) / rest[0].limit
+            if self.now + slowed > held.quoted_by:
+                return
+        sources = self._sources(held)
+        for edge in room + rest:
+            for source in sources or [edge]:
+                yield edge, source
+        if self.settings.bypass and self.origin:
+            for source in sources:
+                if not held.relays or source.credit >= 1.0:
+                    yield source, self.origin
+        if not held.relays:
+            for edge in edges:  # nothing is well: better a try than none
+                if edge not in well:
+                    for source in sources or [edge]:
+                        yield edge, source
+
+    def _sources(self, held: Held) -> list[Server]:
+        """Tell where a miss may be filled from, best first."""
+        wanted = held.pull.object
+        ordered: list[Server] = []
+        if not (held.workload.write or held.pull.write):
+            for group in self.parents:
+                ordered += sorted(group, key=lambda parent: mix(wanted, parent.told.cache), reverse=True)
+        if self.origin:
+            ordered.append(self.origin)
+        return sorted(ordered, key=lambda source: source.sick_until > self.now)
+
+    def _draw(self, wanted: int, server: Server) -> float:
+        """Rendezvous hashing: each cache draws for the object; twice the weight wins twice as often."""
+        return server.weight / -log((mix(wanted, server.told.cache) + 1) / (WORD + 2))
+
+    def _well(self, server: Server) -> bool:
+        """A struck cache rests, and then gets one relay at a time until it answers."""
+        return self.now >= server.sick_until and (not server.strikes or not server.out)
+
+    # The gate: each rule is kept here, for every send and every final answer
+
+    def _send(self, held: Held, target: Server, source: Server, rank: int) -> bool:
+        """Send one relay, or bar it."""
+        s, pull = self.settings, held.pull
+        left = held.cut_off - self.now
+        # Pulls get one answer in time, and nothing after it.
+        if not held.open or held.out or left <= 0 or held.relays >= s.relay_limit:
+            return False
+        # No effect happens twice.
+        if held.maybe and not self._may_repeat(held, target):
+            return False
+        # Drains are kept: only what the list has as ready is in the table.
+        if any(self.servers.get(server.told.cache) is not server for server in (target, source)):
+            return False
+        # Cold caches are not pushed over. Where no cache stands between, the pull itself reaches the parent.
+        upper = target.told.kind in (s.parent_kind, s.origin_kind)
+        mean = self.mean_sending[pull.workload]
+        work = max(mean, held.sending)
+        if not self._fits(target, work) or (source is not target and not self._fits(source, work)):
+            return False
+        self._book(target, work if upper else mean)
+        held.booked = self._book(source, work) if source is not target else [0.0, 0.0]
+        # Purges are kept.
+        oldest = 0.0
+        for what in ((pull.object, -1), (0, pull.group)):
+            made, void = self.purged.get(what, (0.0, 0.0))
+            if void > self.now:
+                age = max(self.now - made, 0.001)
+                oldest = min(oldest or held.workload.fresh or age, age)
+        held.target, held.source, held.out, held.streams = target, source, True, False
+        held.sent_at = self.now
+        target.out += 1
+        if held.relays:
+            target.credit -= 1.0
+        held.maybe = held.maybe or (self.now, target.told, held.relays)
+        held.relays += 1
+        renew = held.workload.fresh > 0 and not held.workload.write and source is not target and not upper
+        self.actions.append(
+            Relay(pull.id, target.told.cache, source.told.cache, 0 if upper else rank, s.joins, False, False,
+                  renew, left, oldest)
+        )  # fmt: skip
+        self._look_later(held, held.sending * max(1.0, target.out / target.limit) + LOOK)
+        return True
+
+    def _may_repeat(self, held: Held, target: Server) -> bool:
+        """Tell whether a pull that may have run may go to this cache as well."""
+        assert held.maybe is not None
+        at, first, _ = held.maybe
+        workload = held.workload
+        if workload.effect is not Effect.TAGGED:
+            return workload.effect is Effect.REPEATABLE
+        if self.now >= at + workload.window:
+            return False
+        match workload.group:
+            case Group.ALL:
+                return True
+            case Group.ZONE:
+                return target.told.zone == first.zone
+            case Group.CELL:
+                return target.told.cell == first.cell and target.told.zone == first.zone
+
+    def _fits(self, server: Server, work: float) -> bool:
+        """Tell whether a cold server's budget holds this much more, counted from a window ago."""
+        s, told = self.settings, server.told
+        window = s.fall_time
+        while server.spent and server.spent[0][0] <= self.now - window:
+            server.spent.popleft()
+        if told.kind == s.origin_kind:
+            return True
+        cold_from, warm_after, multiple = (
+            (s.parent_cold_from, s.parent_warm_after, s.parent_fall_multiple)
+            if told.kind == s.parent_kind
+            else (s.cold_from, s.warm_after, s.fall_multiple)
+        )
+        age = self.now - server.started
+        if server.started <= 0 or age >= warm_after:
+            return True
+        share = cold_from + (1.0 - cold_from) * max(age - window, 0.0) / warm_after
+        budget = COLD_PART * multiple * share * server.weight * window / self._sharing(told)
+        return sum(entry[1] for entry in server.spent) + work <= budget
+
+    def _book(self, server: Server, work: float) -> list[float]:
+        entry = [self.now, work]
+        server.spent.append(entry)
+        return entry
+
+    def _answer(self, held: Held) -> None:
+        """Give the final answer: shed where trying again is harmless, else errored."""
+        held.open = False
+        workload = held.workload
+        harmless = (
+            held.maybe is None
+            or workload.effect is Effect.REPEATABLE
+            or (workload.effect is Effect.TAGGED and workload.group is Group.ALL)
+        )
+        if not harmless or held.out:
+            self.actions.append(Error(held.pull.id))
+            return
+        back = min(workload.quoted, self.settings.longest_retry) if self.settings.tells_retry else 0.0
+        self.actions.append(Shed(held.pull.id, back))
+
+    # What relays tell
+
+    def _ended(self, event: Ended) -> None:
+        held = self.held.get(event.id)
+        if held is None or not held.out or event.relay != held.relays - 1:
+            return
+        held.out = False
+        assert held.target is not None
+        held.target.out -= 1
+        self._learn(held, event)
+        if event.outcome in NEVER_RAN and held.maybe and held.maybe[2] == event.relay:
+            held.maybe = None
+        if event.closed or event.outcome is Outcome.OK:
+            held.open = False
+        if held.open:
+            self._advance(held, event)
+        else:
+            self.held.pop(event.id, None)
+
+    def _learn(self, held: Held, event: Ended) -> None:
+        target, source = held.target, held.source
+        assert target is not None and source is not None
+        outcome, remark = event.outcome, event.remark
+        if remark is Remark.HIT and not (held.workload.fresh and held.booked[1]):
+            held.booked[1] = 0.0  # a hit asked nothing of its source
+        if outcome is Outcome.OK:
+            self._good(target)
+            if remark in (Remark.FILLED, Remark.FILLED_FROM_ORIGIN):
+                self._good(source)
+            if self.now <= held.quoted_by:
+                if target.out + 2 > target.limit:
+                    target.limit = min(target.limit + 1.0 / target.limit, target.most)
+            elif remark in (Remark.HIT, Remark.NONE):
+                self._cut(target)
+        elif outcome is Outcome.FULL and remark is not Remark.SOURCE_REFUSED:
+            target.answered = self.now
+            self._cut(target)
+        elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+            self._strike(target)
+        elif remark in SOURCE_AT_FAULT:
+            target.answered = self.now
+            self._strike(source)
+        elif outcome is Outcome.TIMEOUT:
+            self._cut(target)
+        elif outcome in (Outcome.MISS, Outcome.ERROR):
+            target.answered = self.now
+
+    def _good(self, server: Server) -> None:
+        server.answered = self.now
+        server.strikes = 0
+        server.sick_until = 0.0
+        server.credit = min(server.credit + CREDIT, MOST_CREDIT)
+
+    def _cut(self, server: Server) -> None:
+        if self.now - server.cut_at >= CUT_PAUSE:
+            server.cut_at = self.now
+            server.limit = max(server.limit * CUT, LEAST_LIMIT)
+
+    def _strike(self, server: Server) -> None:
+        """Leave a server alone that failed; relays that fail together count once."""
+        if self.now < server.sick_until:
+            return
+        rest = min(BACK_OFF * 2.0**server.strikes, LONGEST_BACK_OFF)
+        server.sick_until = self.now + rest * (1.0 + 0.25 * self.random.random())
+        server.strikes += 1
+        server.credit = min(server.credit, FIRST_CREDIT)
+
+    def _look_later(self, held: Held, after: float) -> None:
+        if self.settings.recalls:
+            held.look_at = self.now + after
+            self.actions.append(Wake(held.pull.id, after))
+
+    def _rang(self, mark: int) -> None:
+        if mark == ASK:
+            self.actions.append(Watch())
+            return
+        held = self.held.get(mark)
+        if held is None or not held.out or held.streams or self.now < held.look_at - 1.0:
+            return
+        target = held.target
+        assert target is not None
+        if target.answered >= held.sent_at:
+            self._look_later(held, LOOK)
+            return
+        # Silence: a machine that has vanished or stands still resets nothing and answers nothing. What waits
+        # on it goes elsewhere while there is time. It harms where a cache works on a single long answer.
+        self._strike(target)
+        for other in self.held.values():
+            if other.target is target and other.out and not other.streams:
+                self.actions.append(Recall(other.pull.id, other.relays - 1))
+
+    def _hung_up(self, pull: int) -> None:
+        held = self.held.get(pull)
+        if held is None:
+            return
+        held.open = False
+        held.course.close()
+        if not held.out:
+            del self.held[pull]
+        elif self.settings.recalls and not held.streams:
+            self.actions.append(Recall(pull, held.relays - 1))
--- /dev/null
+++ b/cometseam/wirehost.py
@@ -0,0 +1,45 @@
+"""Hosts separate instances of the decision module on the simulator's wire: standard input to output."""
+
+import sys
+from typing import BinaryIO
+
+from cometseam.logic import Front
+from cometseam.wire import Malformed
+from cometseam.wire.frames import Crash, Create, bug, read_frame, read_records, write_action, write_reply
+from cometseam.wire.settings import read_settings
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer each batch with one reply until input ends."""
+    fronts: dict[int, Front] = {}
+    while (frame := read_frame(source)) is not None:
+        now, body = frame
+        records: list[tuple[int, bytes]] = []
+        for instance, event in read_records(body):
+            if isinstance(event, Create):
+                fronts[instance] = Front(event.seed, read_settings(event.settings))
+            elif isinstance(event, Crash):
+                fronts.pop(instance, None)
+            elif instance in fronts:
+                try:
+                    actions = fronts[instance].handle(now, event)
+                except Exception as error:  # the wire has a record for a module that fails
+                    records.append((instance, bug(f"{type(error).__name__}: {error}")))
+                    continue
+                records += [(instance, write_action(action)) for action in actions]
+        sink.write(write_reply(records))
+        sink.flush()
+
+
+def main() -> int:
+    """Run until input ends; a malformed input ends it with one line on standard error."""
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except Malformed as error:
+        print(f"cometseam: malformed input: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_logic.py
@@ -0,0 +1,89 @@
+"""The module alone: each test's decisions are compared with a trace that is kept in `traces/`."""
+
+from dataclasses import replace
+
+from cometseam import interface as i
+from tests.drive import EDGES, ORIGIN, SETTINGS, Drive, line
+
+
+def test_first_seen_passes_unkept_and_later_pulls_are_ranked() -> None:
+    drive = Drive()
+    for number in range(1, 4):
+        drive.pull(number, after=400.0)
+        drive.end(number, remark=i.Remark.FILLED)
+    drive.pull(4, wanted=6, workload=3)  # of a workload that cannot be cached
+    drive.end(4)
+    drive.check("ordinary")
+
+
+def test_once_only_and_tagged_pulls_are_not_run_twice() -> None:
+    drive = Drive()
+    for number, workload in enumerate((0, 1, 2), 1):
+        drive.pull(number, workload=workload)
+        drive.end(number, i.Outcome.RESET, i.Remark.NONE)
+    drive.pull(4, workload=2)
+    drive.end(4, i.Outcome.FULL, i.Remark.NONE)  # proves that it did not run
+    drive.check("effects")
+
+
+def test_a_drained_cache_gets_nothing_new() -> None:
+    drive = Drive()
+    for number, cache in enumerate((*EDGES, 21, 22, ORIGIN), 1):
+        drive.tell(i.Members(i.ListKind.CHANGES, (line(cache, i.Lifecycle.DRAINING),)))
+        drive.pull(number)
+    drive.check("drain")
+
+
+def test_cold_servers_get_no_more_than_their_budget() -> None:
+    drive = Drive(caches=(11, 21, ORIGIN))
+    drive.tell(i.Members(i.ListKind.CHANGES, (line(11, ready_at=drive.now), line(21, ready_at=drive.now))))
+    for number in range(1, 16):
+        drive.pull(number, wanted=number)
+    drive.check("cold")
+
+
+def test_purged_copies_are_too_old() -> None:
+    drive = Drive()
+    drive.tell(i.Purged(0, 3, 40.0))
+    drive.pull(1, after=0.0)
+    drive.tell(i.Purged(5, 3, 0.0))
+    drive.pull(2, after=0.0)
+    drive.pull(3, after=7000.0)
+    drive.check("purge")
+
+
+def test_a_silent_cache_loses_its_pulls_to_the_next() -> None:
+    drive = Drive()
+    drive.pull(1)
+    drive.pull(2)
+    drive.tell(i.Rang(1), after=500.0)
+    drive.end(1, i.Outcome.CANCELLED, i.Remark.NONE, after=1.0)
+    drive.end(2, i.Outcome.CANCELLED, i.Remark.NONE, after=1.0)
+    drive.check("silence")
+
+
+def test_a_hot_object_spills_and_comes_back() -> None:
+    drive = Drive()
+    for number in range(1, 11):
+        drive.pull(number, after=1.0)
+    for number in range(1, 6):
+        drive.end(number, after=1.0)
+    drive.pull(11, after=1.0)
+    drive.check("spill")
+
+
+def test_a_failed_source_is_passed_over() -> None:
+    drive = Drive()
+    drive.pull(1)
+    drive.end(1, i.Outcome.MISS, i.Remark.SOURCE_BROKE)
+    drive.pull(2)
+    drive.check("source")
+
+
+def test_every_pull_is_answered_where_nothing_is_listed() -> None:
+    drive = Drive(replace(SETTINGS, workloads=SETTINGS.workloads[:1]), caches=())
+    drive.pull(1)
+    drive.pull(2, workload=9)
+    drive.tell(i.HungUp(1))
+    drive.tell(i.Ended(1, 0, 11, i.Outcome.OK, i.Remark.HIT, 1.0, 0.0, True, ()))
+    drive.check("nothing")
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,54 @@
+"""The wire: the page's own batch is read, and malformed input ends with one plain message and no reply."""
+
+import io
+import struct
+
+import pytest
+
+from cometseam.interface import HungUp, Pull, Rang, Shed, Wake
+from cometseam.wire import Malformed
+from cometseam.wire.frames import read_frame, read_records, write_action, write_reply
+from cometseam.wirehost import serve
+
+BATCH = bytes.fromhex(
+    "57000000 00000000206ec040 1b020000000300"
+    "122a000000c4913a5d001e0b000000000000004040640ad2557c3bf091000000000000 6e40010000204400003041"
+    "16080000004d00000000000000 1b020000000500 1508000000192b6f0eeb290b00"
+)
+
+
+def test_a_batch_is_read_and_a_reply_written() -> None:
+    frame = read_frame(io.BytesIO(BATCH))
+    assert frame is not None and frame[0] == 8412.25
+    assert list(read_records(frame[1])) == [
+        (3, Pull(0xB1E005D3A91C4, 0x91F03B7C55D20A64, 2, 0, 240.0, False, 640.0, 11)),
+        (3, Rang(0x4D)),
+        (5, HungUp(0xB29EB0E6F2B19)),
+    ]
+    records = [(3, write_action(Wake(0x4D, 500.0))), (5, write_action(Shed(0xB29EB0E6F2B19, 250.0)))]
+    assert write_reply(records).hex() == (
+        "3800000004000000" + "19020000000300" + "14100000004d000000000000000000000000407f40"
+        "19020000000500" + "1a10000000192b6f0eeb290b000000000000406f40"
+    )
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        BATCH[:5],
+        BATCH[:40],
+        struct.pack("<Id", 3, 1.0) + b"\x1b\x02\x00",
+        struct.pack("<Id", 7, float("nan")) + b"\x1b\x02\x00\x00\x00\x00\x00",
+        struct.pack("<Id", 6, 1.0) + b"\x1b\x01\x00\x00\x00\x00",
+        struct.pack("<Id", 8, 1.0) + b"\x1b\x03\x00\x00\x00\x00\x00\x00",
+        struct.pack("<Id", 13, 1.0) + b"\x16\x08\x00\x00\x00" + bytes(8),
+        struct.pack("<Id", 26, 1.0) + b"\x1b\x02\x00\x00\x00\x00\x00" + b"\x10\x0e\x00\x00\x00" + bytes(8)
+        + struct.pack("<I", 2) + b"{]",
+    ],
+    ids=["header", "short", "record", "clock", "short-field", "over-long", "nobody", "settings"],
+)  # fmt: skip
+def test_malformed_input_gets_no_reply(raw: bytes) -> None:
+    sink = io.BytesIO()
+    with pytest.raises(Malformed):
+        serve(io.BytesIO(raw), sink)
+    assert sink.getvalue() == b""
