Look first, then fill within a limit on the fills that are out

Cause: fills beyond what a location's link carries all end late, are given up and keep nothing, so the jam feeds itself. A look tells hits from misses at once; a fill begins only where it can be in time, by a limit that grows by one and is cut by a share. It should also guard against slow parents and a slow origin; it harms where the limit lags behind a link that has just become free.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -26,6 +26,7 @@
 CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
 COLD_PART = 0.6  # share of a cold cache's budget that is used: sizes and weights are not exact
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
+FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
 LOOK = 300.0  # ms past a relay's expected time before its cache's silence is looked at
 ASK = 1 << 60  # timer mark for asking for the list again; pulls' ids stay below it
 NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
@@ -70,16 +71,19 @@
 class Held:
     """A pull that is owed its final answer, or whose relay is still out."""
 
-    __slots__ = ("booked", "course", "cut_off", "look_at", "maybe", "open", "out", "pull", "quoted_by",
-                 "relays", "sending", "sent_at", "source", "streams", "target", "workload")  # fmt: skip
+    __slots__ = ("booked", "course", "cut_off", "failures", "fills", "joins", "lacks", "look_at", "maybe",
+                 "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at", "source", "streams",
+                 "target", "workload")  # fmt: skip
 
     def __init__(self, pull: Pull, workload: Workload, now: float, pace: float) -> None:
         self.pull, self.workload = pull, workload
         self.cut_off = now + pull.left
         self.sending = pull.size_kb / pace if pace else 0.0
         self.quoted_by = now + min(workload.quoted + workload.stretch * self.sending, pull.left)
-        self.relays = 0
+        self.relays = self.failures = 0
         self.out, self.open, self.streams = False, True, False
+        self.lacks: Server | None = None  # the cache that answered a look with a miss
+        self.fills = self.joins = False  # whether the relay out may fill; whether a fill was under way
         self.target: Server | None = None
         self.source: Server | None = None
         self.sent_at = self.look_at = 0.0
@@ -99,6 +103,9 @@
         self.settings = settings
         self.random = Random(seed)
         self.now = 0.0
+        self.fills = 0
+        self.fill_limit = 0.0  # set by the first list
+        self.fill_cut_at = 0.0
         self.actions: list[Action] = []
         self.held: dict[int, Held] = {}  # a pull leaves when it is answered and none of its relays is out
         self.servers: dict[int, Server] = {}  # as the list has them; what is gone or draining leaves
@@ -157,6 +164,8 @@
         self.origin = next((server for server in by_id if server.told.kind == s.origin_kind), None)
         upper = (s.parent_kind, s.origin_kind)
         self.edges = [e for e in by_id if e.told.zone == s.zone and e.told.kind not in upper]
+        if not self.fill_limit:
+            self.fill_limit = max(FILL_PART * sum(edge.limit for edge in self.edges), LEAST_LIMIT)
 
     def _listed(self, entry: Listed) -> None:
         known = self.servers.pop(entry.cache, None)
@@ -255,25 +264,38 @@
         """Tell where the pull may go, best first."""
         wanted = held.pull.object
         edges = sorted(self.edges, key=lambda edge: self._draw(wanted, edge), reverse=True)
-        well = [edge for edge in edges if self._well(edge) and (not held.relays or edge.credit >= 1.0)]
+        well = [edge for edge in edges if self._well(edge) and (not held.failures or edge.credit >= 1.0)]
+        sources = self._sources(held)
+        write = held.workload.write or held.pull.write
+        if held.lacks in well:
+            # What comes in shares one link. More fills than it carries all end late, are given up and keep
+            # nothing, so that the next pulls miss as well; so a fill that cannot be in time is not begun.
+            slowed = held.sending * (self.fills + 1) / self.fill_limit
+            if not held.joins and self.now + slowed > held.quoted_by:
+                return
+            for source in sources:
+                yield held.lacks, source
+            return
         # A hot object, or a cache that is slow, must not jam one link while others have room: a cache at its
         # limit passes the pull on in hash order, and takes it back when relays have ended.
         room = [edge for edge in well if edge.out + 1 <= edge.limit]
         rest = sorted((edge for edge in well if edge not in room), key=lambda edge: edge.out / edge.limit)
-        if not room and rest and not held.relays:
+        if not room and rest and not held.failures:
             # Overload: what cannot be answered by its quoted time would only slow down the others.
             slowed = held.sending * (rest[0].out + 1) / rest[0].limit
             if self.now + slowed > held.quoted_by:
                 return
-        sources = self._sources(held)
         for edge in room + rest:
-            for source in sources or [edge]:
+            # A look tells what the cache holds, so which pulls are fills. A cold cache is not asked twice.
+            if not write and not self._cold(edge):
+                yield edge, edge
+            for source in sources:
                 yield edge, source
         if self.settings.bypass and self.origin:
             for source in sources:
-                if not held.relays or source.credit >= 1.0:
+                if not held.failures or source.credit >= 1.0:
                     yield source, self.origin
-        if not held.relays:
+        if not held.failures:
             for edge in edges:  # nothing is well: better a try than none
                 if edge not in well:
                     for source in sources or [edge]:
@@ -331,8 +353,10 @@
         held.target, held.source, held.out, held.streams = target, source, True, False
         held.sent_at = self.now
         target.out += 1
-        if held.relays:
+        if held.failures:
             target.credit -= 1.0
+        held.fills = source is not target and not held.joins
+        self.fills += held.fills
         held.maybe = held.maybe or (self.now, target.told, held.relays)
         held.relays += 1
         renew = held.workload.fresh > 0 and not held.workload.write and source is not target and not upper
@@ -340,7 +364,8 @@
             Relay(pull.id, target.told.cache, source.told.cache, 0 if upper else rank, s.joins, False, False,
                   renew, left, oldest)
         )  # fmt: skip
-        self._look_later(held, held.sending * max(1.0, target.out / target.limit) + LOOK)
+        slowed = self.fills / self.fill_limit if held.fills else target.out / target.limit
+        self._look_later(held, held.sending * max(1.0, slowed) + LOOK)
         return True
 
     def _may_repeat(self, held: Held, target: Server) -> bool:
@@ -360,25 +385,26 @@
             case Group.CELL:
                 return target.told.cell == first.cell and target.told.zone == first.zone
 
-    def _fits(self, server: Server, work: float) -> bool:
-        """Tell whether a cold server's budget holds this much more, counted from a window ago."""
+    def _cold(self, server: Server) -> float:
+        """Tell the work that a cold server may get in a window that began before now; 0 where it is warm."""
         s, told = self.settings, server.told
-        window = s.fall_time
-        while server.spent and server.spent[0][0] <= self.now - window:
-            server.spent.popleft()
-        if told.kind == s.origin_kind:
-            return True
+        age = self.now - server.started
         cold_from, warm_after, multiple = (
             (s.parent_cold_from, s.parent_warm_after, s.parent_fall_multiple)
             if told.kind == s.parent_kind
             else (s.cold_from, s.warm_after, s.fall_multiple)
         )
-        age = self.now - server.started
-        if server.started <= 0 or age >= warm_after:
-            return True
-        share = cold_from + (1.0 - cold_from) * max(age - window, 0.0) / warm_after
-        budget = COLD_PART * multiple * share * server.weight * window / self._sharing(told)
-        return sum(entry[1] for entry in server.spent) + work <= budget
+        if server.started <= 0 or age >= warm_after or told.kind == s.origin_kind:
+            return 0.0
+        share = cold_from + (1.0 - cold_from) * max(age - s.fall_time, 0.0) / warm_after
+        return COLD_PART * multiple * share * server.weight * s.fall_time / self._sharing(told)
+
+    def _fits(self, server: Server, work: float) -> bool:
+        """Tell whether a cold server's budget holds this much more."""
+        while server.spent and server.spent[0][0] <= self.now - self.settings.fall_time:
+            server.spent.popleft()
+        budget = self._cold(server)
+        return not budget or sum(entry[1] for entry in server.spent) + work <= budget
 
     def _book(self, server: Server, work: float) -> list[float]:
         entry = [self.now, work]
@@ -409,6 +435,7 @@
         held.out = False
         assert held.target is not None
         held.target.out -= 1
+        self.fills -= held.fills
         self._learn(held, event)
         if event.outcome in NEVER_RAN and held.maybe and held.maybe[2] == event.relay:
             held.maybe = None
@@ -423,11 +450,22 @@
         target, source = held.target, held.source
         assert target is not None and source is not None
         outcome, remark = event.outcome, event.remark
+        looked = source is target and outcome is Outcome.MISS
+        held.lacks = target if looked or (held.lacks is target and remark in SOURCE_AT_FAULT) else None
+        held.joins = looked and remark is Remark.JOINED
+        held.failures += outcome is not Outcome.OK and not looked
+        if held.fills and remark is not Remark.HIT:
+            if outcome is Outcome.OK and self.now <= held.quoted_by:
+                if self.fills + 2 > self.fill_limit:
+                    self.fill_limit += 1.0 / self.fill_limit
+            elif self.now - self.fill_cut_at >= CUT_PAUSE and self.now > held.quoted_by:
+                self.fill_cut_at = self.now
+                self.fill_limit = max(self.fill_limit * CUT, LEAST_LIMIT)
         if remark is Remark.HIT and not (held.workload.fresh and held.booked[1]):
             held.booked[1] = 0.0  # a hit asked nothing of its source
         if outcome is Outcome.OK:
             self._good(target)
-            if remark in (Remark.FILLED, Remark.FILLED_FROM_ORIGIN):
+            if remark in (Remark.FILLED, Remark.FILLED_FROM_ORIGIN) and source is not target:
                 self._good(source)
             if self.now <= held.quoted_by:
                 if target.out + 2 > target.limit:
@@ -436,6 +474,7 @@
                 self._cut(target)
         elif outcome is Outcome.FULL and remark is not Remark.SOURCE_REFUSED:
             target.answered = self.now
+            target.limit = min(target.limit, target.out + 1.0)
             self._cut(target)
         elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._strike(target)
