--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -25,6 +25,7 @@
 LEAST_LIMIT, UNSIZED_LIMIT = 2.0, 8.0  # relays out at a cache: at least, and at first with sizes untold
 CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
 COLD_PART = 0.6  # share of a cold cache's budget that is used: sizes and weights are not exact
+SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
 FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
 LOOK = 300.0  # ms past a relay's expected time before its cache's silence is looked at
@@ -72,7 +73,7 @@
     """A pull that is owed its final answer, or whose relay is still out."""
 
     __slots__ = ("booked", "course", "cut_off", "failures", "fills", "joins", "lacks", "look_at", "maybe",
-                 "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at", "source", "streams",
+                 "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at", "slowed", "source", "streams",
                  "target", "workload")  # fmt: skip
 
     def __init__(self, pull: Pull, workload: Workload, now: float, pace: float) -> None:
@@ -86,7 +87,7 @@
         self.fills = self.joins = False  # whether the relay out may fill; whether a fill was under way
         self.target: Server | None = None
         self.source: Server | None = None
-        self.sent_at = self.look_at = 0.0
+        self.sent_at = self.look_at = self.slowed = 0.0
         self.booked: list[float] = [0.0, 0.0]
         self.maybe: tuple[float, Listed, int] | None = None  # when, where, by which relay it may have run
         self.course: Course
@@ -270,11 +271,9 @@
         if held.lacks in well:
             # What comes in shares one link. More fills than it carries all end late, are given up and keep
             # nothing, so that the next pulls miss as well; so a fill that cannot be in time is not begun.
-            slowed = held.sending * (self.fills + 1) / self.fill_limit
-            if not held.joins and self.now + slowed > held.quoted_by:
-                return
-            for source in sources:
-                yield held.lacks, source
+            if held.joins or self._fill_in_time(held):
+                for source in sources:
+                    yield held.lacks, source
             return
         # A hot object, or a cache that is slow, must not jam one link while others have room: a cache at its
         # limit passes the pull on in hash order, and takes it back when relays have ended.
@@ -289,8 +288,9 @@
             # A look tells what the cache holds, so which pulls are fills. A cold cache is not asked twice.
             if not write and not self._cold(edge):
                 yield edge, edge
-            for source in sources:
-                yield edge, source
+            if self._fill_in_time(held):
+                for source in sources:
+                    yield edge, source
         if self.settings.bypass and self.origin:
             for source in sources:
                 if not held.failures or source.credit >= 1.0:
@@ -301,6 +301,9 @@
                     for source in sources or [edge]:
                         yield edge, source
 
+    def _fill_in_time(self, held: Held) -> bool:
+        return self.now + held.sending * (self.fills + 1) / self.fill_limit <= held.quoted_by
+
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
         wanted = held.pull.object
@@ -364,8 +367,8 @@
             Relay(pull.id, target.told.cache, source.told.cache, 0 if upper else rank, s.joins, False, False,
                   renew, left, oldest)
         )  # fmt: skip
-        slowed = self.fills / self.fill_limit if held.fills else target.out / target.limit
-        self._look_later(held, held.sending * max(1.0, slowed) + LOOK)
+        held.slowed = self.fills / self.fill_limit if held.fills else target.out / target.limit
+        self._look_later(held, held.sending * max(1.0, held.slowed) + LOOK)
         return True
 
     def _may_repeat(self, held: Held, target: Server) -> bool:
@@ -454,11 +457,13 @@
         held.lacks = target if looked or (held.lacks is target and remark in SOURCE_AT_FAULT) else None
         held.joins = looked and remark is Remark.JOINED
         held.failures += outcome is not Outcome.OK and not looked
+        sent_in = event.took - event.waited if held.fills else event.took
+        at_pace = outcome is Outcome.OK and sent_in <= held.sending * max(1.0, held.slowed) + SLACK
         if held.fills and remark is not Remark.HIT:
-            if outcome is Outcome.OK and self.now <= held.quoted_by:
+            if at_pace:
                 if self.fills + 2 > self.fill_limit:
                     self.fill_limit += 1.0 / self.fill_limit
-            elif self.now - self.fill_cut_at >= CUT_PAUSE and self.now > held.quoted_by:
+            elif self.now - self.fill_cut_at >= CUT_PAUSE and outcome in (Outcome.OK, Outcome.TIMEOUT):
                 self.fill_cut_at = self.now
                 self.fill_limit = max(self.fill_limit * CUT, LEAST_LIMIT)
         if remark is Remark.HIT and not (held.workload.fresh and held.booked[1]):
@@ -467,11 +472,11 @@
             self._good(target)
             if remark in (Remark.FILLED, Remark.FILLED_FROM_ORIGIN) and source is not target:
                 self._good(source)
-            if self.now <= held.quoted_by:
-                if target.out + 2 > target.limit:
+            if not held.fills or remark is Remark.HIT:
+                if not at_pace:
+                    self._cut(target)
+                elif target.out + 2 > target.limit:
                     target.limit = min(target.limit + 1.0 / target.limit, target.most)
-            elif remark in (Remark.HIT, Remark.NONE):
-                self._cut(target)
         elif outcome is Outcome.FULL and remark is not Remark.SOURCE_REFUSED:
             target.answered = self.now
             target.limit = min(target.limit, target.out + 1.0)
