Spill a pull only where its hashed cache would take most of the quoted time

Cause: a cache at its limit spilled pulls that it would still have answered in time; each spill was a miss elsewhere. Should also guard against slow caches; it harms where the limit is learnt too high.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -25,6 +25,7 @@
 LEAST_LIMIT, UNSIZED_LIMIT = 2.0, 8.0  # relays out at a cache: at least, and at first with sizes untold
 CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
 COLD_PART = 0.6  # share of a cold cache's budget that is used: sizes and weights are not exact
+SPILL = 0.7  # share of the quoted time that a pull may take at a cache before it spills to the next
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
 FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
@@ -73,8 +74,8 @@
     """A pull that is owed its final answer, or whose relay is still out."""
 
     __slots__ = ("booked", "course", "cut_off", "failures", "fills", "joins", "lacks", "look_at", "maybe",
-                 "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at", "slowed", "source", "streams",
-                 "target", "workload")  # fmt: skip
+                 "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at", "slowed", "source",
+                 "streams", "target", "workload")  # fmt: skip
 
     def __init__(self, pull: Pull, workload: Workload, now: float, pace: float) -> None:
         self.pull, self.workload = pull, workload
@@ -277,7 +278,8 @@
             return
         # A hot object, or a cache that is slow, must not jam one link while others have room: a cache at its
         # limit passes the pull on in hash order, and takes it back when relays have ended.
-        room = [edge for edge in well if edge.out + 1 <= edge.limit]
+        ample = SPILL * (held.quoted_by - self.now)
+        room = [edge for edge in well if held.sending * (edge.out + 1) / edge.limit <= ample]
         rest = sorted((edge for edge in well if edge not in room), key=lambda edge: edge.out / edge.limit)
         if not room and rest and not held.failures:
             # Overload: what cannot be answered by its quoted time would only slow down the others.
