--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -21,7 +21,7 @@
 GAP_FLOOR = 250.0  # ms; closer requests count as this far apart: a client's retries are no popularity
 VALUES = 600  # recent values that are cut in thirds
 RECUT = 50  # values between two cuts
-FIRST_CREDIT, CREDIT, MOST_CREDIT = 1.0, 0.1, 4.0  # at the start, for each good answer, at most
+FIRST_CREDIT, CREDIT, MOST_CREDIT = 1.0, 0.2, 10.0  # at the start, for each good answer, at most
 LEAST_LIMIT, UNSIZED_LIMIT = 2.0, 8.0  # relays out at a cache: at least, and at first with sizes untold
 CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
 COLD_PART = 0.6  # share of a cold cache's budget that is used: sizes and weights are not exact
@@ -315,7 +315,7 @@
                 ordered += sorted(group, key=lambda parent: mix(wanted, parent.told.cache), reverse=True)
         if self.origin:
             ordered.append(self.origin)
-        return sorted(ordered, key=lambda source: source.sick_until > self.now)
+        return sorted(ordered, key=lambda source: not self._well(source))
 
     def _draw(self, wanted: int, server: Server) -> float:
         """Rendezvous hashing: each cache draws for the object; twice the weight wins twice as often."""
@@ -360,6 +360,8 @@
         target.out += 1
         if held.failures:
             target.credit -= 1.0
+        if source is not target:
+            source.out += 1
         held.fills = source is not target and not held.joins
         self.fills += held.fills
         held.maybe = held.maybe or (self.now, target.told, held.relays)
@@ -438,8 +440,10 @@
         if held is None or not held.out or event.relay != held.relays - 1:
             return
         held.out = False
-        assert held.target is not None
+        assert held.target is not None and held.source is not None
         held.target.out -= 1
+        if held.source is not held.target:
+            held.source.out -= 1
         self.fills -= held.fills
         self._learn(held, event)
         if event.outcome in NEVER_RAN and held.maybe and held.maybe[2] == event.relay:
@@ -456,7 +460,7 @@
         assert target is not None and source is not None
         outcome, remark = event.outcome, event.remark
         looked = source is target and outcome is Outcome.MISS
-        held.lacks = target if looked or (held.lacks is target and remark in SOURCE_AT_FAULT) else None
+        held.lacks = target if looked or held.lacks is target else None
         held.joins = looked and remark is Remark.JOINED
         held.failures += outcome is not Outcome.OK and not looked
         sent_in = event.took - event.waited if held.fills else event.took
@@ -492,6 +496,7 @@
             self._cut(target)
         elif outcome in (Outcome.MISS, Outcome.ERROR):
             target.answered = self.now
+            target.credit = min(target.credit + CREDIT, MOST_CREDIT)
 
     def _good(self, server: Server) -> None:
         server.answered = self.now
@@ -525,16 +530,22 @@
         held = self.held.get(mark)
         if held is None or not held.out or held.streams or self.now < held.look_at - 1.0:
             return
-        target = held.target
-        assert target is not None
+        target, source = held.target, held.source
+        assert target is not None and source is not None
+        silent = target
         if target.answered >= held.sent_at:
-            self._look_later(held, LOOK)
-            return
+            # A slow origin or a full link delays what comes from every source: only one that stays behind
+            # while another delivers is at fault.
+            others = [other for other in self._sources(held) if other is not source]
+            if source.answered >= held.sent_at or all(other.answered < held.sent_at for other in others):
+                self._look_later(held, LOOK)
+                return
+            silent = source
         # Silence: a machine that has vanished or stands still resets nothing and answers nothing. What waits
-        # on it goes elsewhere while there is time. It harms where a cache works on a single long answer.
-        self._strike(target)
+        # on it goes elsewhere while there is time. It harms where one long answer is all that it works on.
+        self._strike(silent)
         for other in self.held.values():
-            if other.target is target and other.out and not other.streams:
+            if other.out and not other.streams and silent in (other.target, other.source):
                 self.actions.append(Recall(other.pull.id, other.relays - 1))
 
     def _hung_up(self, pull: int) -> None:
