--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -73,8 +73,8 @@
 class Held:
     """A pull that is owed its final answer, or whose relay is still out."""
 
-    __slots__ = ("booked", "course", "cut_off", "failures", "fills", "joins", "lacks", "look_at", "maybe",
-                 "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at", "slowed", "source",
+    __slots__ = ("booked", "course", "cut_off", "failures", "fills", "full", "joins", "lacks", "look_at",
+                 "maybe", "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at", "slowed", "source",
                  "streams", "target", "workload")  # fmt: skip
 
     def __init__(self, pull: Pull, workload: Workload, now: float, pace: float) -> None:
@@ -84,6 +84,7 @@
         self.quoted_by = now + min(workload.quoted + workload.stretch * self.sending, pull.left)
         self.relays = self.failures = 0
         self.out, self.open, self.streams = False, True, False
+        self.full: list[Server] = []  # turned it away, or its fill
         self.lacks: Server | None = None  # the cache that answered a look with a miss
         self.fills = self.joins = False  # whether the relay out may fill; whether a fill was under way
         self.target: Server | None = None
@@ -266,7 +267,8 @@
         """Tell where the pull may go, best first."""
         wanted = held.pull.object
         edges = sorted(self.edges, key=lambda edge: self._draw(wanted, edge), reverse=True)
-        well = [edge for edge in edges if self._well(edge) and (not held.failures or edge.credit >= 1.0)]
+        well = [edge for edge in edges if self._well(edge) and edge not in held.full]
+        well = [edge for edge in well if not held.failures or edge.credit >= 1.0]
         sources = self._sources(held)
         write = held.workload.write or held.pull.write
         if held.lacks in well:
@@ -483,15 +485,17 @@
                     self._cut(target)
                 elif target.out + 2 > target.limit:
                     target.limit = min(target.limit + 1.0 / target.limit, target.most)
-        elif outcome is Outcome.FULL and remark is not Remark.SOURCE_REFUSED:
-            target.answered = self.now
-            target.limit = min(target.limit, target.out + 1.0)
-            self._cut(target)
-        elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
-            self._strike(target)
         elif remark in SOURCE_AT_FAULT:
             target.answered = self.now
             self._strike(source)
+        elif outcome is Outcome.FULL:
+            target.answered = self.now
+            held.full.append(target)
+            if remark is not Remark.NO_PLACE:
+                target.limit = min(target.limit, target.out + 1.0)
+                self._cut(target)
+        elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+            self._strike(target)
         elif outcome is Outcome.TIMEOUT:
             self._cut(target)
         elif outcome in (Outcome.MISS, Outcome.ERROR):
