Limit fetches from a strained origin, and serve ageing copies rather than none

Waits of a few times the usual one, or the origin's failures, cut a limit on fetches; past it a parent is asked for what it holds, then a copy in its grace will do. It should also guard against an overrun origin; it harms where waits rise for another reason.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -10,6 +10,7 @@
 from collections.abc import Generator, Iterator
 from math import log
 from random import Random
+from typing import NamedTuple
 
 from cometseam.interface import (
     Action, Began, Effect, Ended, Error, Event, Group, HungUp, Lifecycle, Listed, ListKind, Members, Outcome,
@@ -26,6 +27,7 @@
 CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
 COLD_PART = 0.6  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.7  # share of the quoted time that a pull may take at a cache before it spills to the next
+STRAIN = 3.0  # times the usual wait for the origin that show that it is asked for too much
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
 FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
@@ -44,18 +46,37 @@
     return word ^ word >> 31
 
 
+class Limit:
+    """How many may be out at once; it grows by one where a round went well and is cut by a share."""
+
+    __slots__ = ("cut_at", "most", "out", "size")
+
+    def __init__(self, size: float) -> None:
+        self.size = max(size, LEAST_LIMIT)
+        self.most = 4.0 * self.size
+        self.out, self.cut_at = 0, 0.0
+
+    def good(self) -> None:
+        if self.out + 2 > self.size:
+            self.size = min(self.size + 1.0 / self.size, self.most)
+
+    def bad(self, now: float, proven: bool = False) -> None:
+        """Cut it, by what is out where that is proven to be too much; cuts close together have one cause."""
+        if now - self.cut_at >= CUT_PAUSE:
+            self.cut_at = now
+            self.size = max(CUT * (min(self.size, self.out + 1.0) if proven else self.size), LEAST_LIMIT)
+
+
 class Server:
     """One start of a cache, a parent or the origin, as this front knows it."""
 
-    __slots__ = ("answered", "credit", "cut_at", "limit", "most", "out", "sick_until", "spent", "started",
-                 "strikes", "told", "weight")  # fmt: skip
+    __slots__ = ("answered", "credit", "load", "sick_until", "spent", "started", "strikes", "told", "weight")
 
     def __init__(self, told: Listed, weight: float, limit: float) -> None:
         self.told, self.weight, self.started = told, weight, told.ready_at
-        self.out = 0
-        self.limit, self.most = limit, 4.0 * limit
+        self.load = Limit(limit)
         self.credit = FIRST_CREDIT
-        self.answered = self.cut_at = self.sick_until = 0.0
+        self.answered = self.sick_until = 0.0
         self.strikes = 0
         self.spent: deque[list[float]] = deque()  # [time, work] sent; what is older than a window leaves
 
@@ -73,9 +94,9 @@
 class Held:
     """A pull that is owed its final answer, or whose relay is still out."""
 
-    __slots__ = ("booked", "course", "cut_off", "failures", "fills", "full", "joins", "lacks", "look_at",
-                 "maybe", "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at", "slowed", "source",
-                 "streams", "target", "workload")  # fmt: skip
+    __slots__ = ("booked", "course", "cut_off", "failures", "fills", "full", "joins", "known", "lacks",
+                 "look_at", "maybe", "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at",
+                 "slowed", "spurned", "streams", "way", "workload")  # fmt: skip
 
     def __init__(self, pull: Pull, workload: Workload, now: float, pace: float) -> None:
         self.pull, self.workload = pull, workload
@@ -86,17 +107,30 @@
         self.out, self.open, self.streams = False, True, False
         self.full: list[Server] = []  # turned it away, or its fill
         self.lacks: Server | None = None  # the cache that answered a look with a miss
+        self.known: list[tuple[Server, bool]] = []  # who holds no copy; True: not even an ageing one
         self.fills = self.joins = False  # whether the relay out may fill; whether a fill was under way
-        self.target: Server | None = None
-        self.source: Server | None = None
+        self.spurned = False  # the origin failed it
+        self.way: Way
         self.sent_at = self.look_at = self.slowed = 0.0
         self.booked: list[float] = [0.0, 0.0]
         self.maybe: tuple[float, Listed, int] | None = None  # when, where, by which relay it may have run
         self.course: Course
 
 
-Way = tuple[Server, Server, int]  # the cache to ask, the source of a fill, the rank to keep it at
-Course = Generator[Way, Ended | None, None]
+class Way(NamedTuple):
+    """Where a pull may go next: the cache to ask, the source of a fill (itself: a look) and on what terms."""
+
+    target: Server
+    source: Server
+    only_held: bool = False  # the source fetches nothing for it
+    stale: bool = False  # an ageing copy will do
+
+    @property
+    def fetches(self) -> bool:
+        return self.source is not self.target and not self.only_held
+
+
+Course = Generator[tuple[Way, int], Ended | None, None]
 
 
 class Front:
@@ -106,9 +140,7 @@
         self.settings = settings
         self.random = Random(seed)
         self.now = 0.0
-        self.fills = 0
-        self.fill_limit = 0.0  # set by the first list
-        self.fill_cut_at = 0.0
+        self.fills = self.fetches = Limit(0.0)  # through the zone's link; by way of the origin; set by a list
         self.actions: list[Action] = []
         self.held: dict[int, Held] = {}  # a pull leaves when it is answered and none of its relays is out
         self.servers: dict[int, Server] = {}  # as the list has them; what is gone or draining leaves
@@ -120,6 +152,7 @@
         self.values: deque[float] = deque(maxlen=VALUES)
         self.cuts = [0.0, 0.0]
         self.uncut = 0
+        self.usual_wait = 100.0  # ms to a fetched copy's first byte, lately
         self.mean_sending = [workload.quoted for workload in settings.workloads]
         self.purged: dict[tuple[int, int], tuple[float, float]] = {}  # made, void; a new one clears these
 
@@ -167,8 +200,9 @@
         self.origin = next((server for server in by_id if server.told.kind == s.origin_kind), None)
         upper = (s.parent_kind, s.origin_kind)
         self.edges = [e for e in by_id if e.told.zone == s.zone and e.told.kind not in upper]
-        if not self.fill_limit:
-            self.fill_limit = max(FILL_PART * sum(edge.limit for edge in self.edges), LEAST_LIMIT)
+        if self.fills is self.fetches:
+            pooled = sum(edge.load.size for edge in self.edges)
+            self.fills, self.fetches = Limit(FILL_PART * pooled), Limit(4.0 * pooled)
 
     def _listed(self, entry: Listed) -> None:
         known = self.servers.pop(entry.cache, None)
@@ -180,7 +214,7 @@
             self.servers[entry.cache] = known
             return
         limit = weight if self.settings.sized else UNSIZED_LIMIT
-        fresh = Server(entry, weight, max(limit / self._sharing(entry), LEAST_LIMIT))
+        fresh = Server(entry, weight, limit / self._sharing(entry))
         if known:  # what reached a restarted cache before its start was told counts against its budget
             fresh.spent = known.spent
         self.servers[entry.cache] = fresh
@@ -202,7 +236,7 @@
     def _rank(self, held: Held) -> int:
         """Tell the rank at which the pull's copy is kept; 0 is not kept."""
         pull = held.pull
-        if held.workload.write or pull.write:
+        if not self._is_cacheable(held):
             return 0
         key = pull.object << 16 | pull.part
         track = self.tracks.get(key)
@@ -242,8 +276,8 @@
         rank = self._rank(held)
         while True:
             ended = None
-            for target, source in self._ways(held):
-                ended = yield target, source, rank
+            for way in self._ways(held):
+                ended = yield way, rank
                 if ended is not None:
                     break
             if ended is None or not held.open:
@@ -254,65 +288,79 @@
     def _advance(self, held: Held, ended: Ended | None) -> None:
         """Resume a pull's course until one of its ways is sent or it has none left."""
         try:
-            way = held.course.send(ended)
-            while not self._send(held, *way):
-                way = held.course.send(None)
+            way, rank = held.course.send(ended)
+            while not self._send(held, way, rank):
+                way, rank = held.course.send(None)
         except StopIteration:
             if held.open:
                 self._answer(held)
             if not held.out:
                 self.held.pop(held.pull.id, None)
 
-    def _ways(self, held: Held) -> Iterator[tuple[Server, Server]]:
+    def _ways(self, held: Held) -> Iterator[Way]:
         """Tell where the pull may go, best first."""
         wanted = held.pull.object
         edges = sorted(self.edges, key=lambda edge: self._draw(wanted, edge), reverse=True)
         well = [edge for edge in edges if self._well(edge) and edge not in held.full]
         well = [edge for edge in well if not held.failures or edge.credit >= 1.0]
-        sources = self._sources(held)
-        write = held.workload.write or held.pull.write
         if held.lacks in well:
-            # What comes in shares one link. More fills than it carries all end late, are given up and keep
-            # nothing, so that the next pulls miss as well; so a fill that cannot be in time is not begun.
-            if held.joins or self._fill_in_time(held):
-                for source in sources:
-                    yield held.lacks, source
+            yield from self._fills(held, held.lacks)
             return
-        # A hot object, or a cache that is slow, must not jam one link while others have room: a cache at its
-        # limit passes the pull on in hash order, and takes it back when relays have ended.
+        # A hot object, or a cache that is slow, must not jam one link while others have room: a cache that
+        # would take most of the quoted time passes the pull on in hash order, and takes it back later.
         ample = SPILL * (held.quoted_by - self.now)
-        room = [edge for edge in well if held.sending * (edge.out + 1) / edge.limit <= ample]
-        rest = sorted((edge for edge in well if edge not in room), key=lambda edge: edge.out / edge.limit)
-        if not room and rest and not held.failures:
-            # Overload: what cannot be answered by its quoted time would only slow down the others.
-            slowed = held.sending * (rest[0].out + 1) / rest[0].limit
-            if self.now + slowed > held.quoted_by:
-                return
+        room = [edge for edge in well if held.sending * (edge.load.out + 1) / edge.load.size <= ample]
+        rest = sorted((edge for edge in well if edge not in room), key=lambda e: e.load.out / e.load.size)
+        if not room and rest and not held.failures and not self._in_time(held, rest[0].load):
+            return  # Overload: what cannot be answered by its quoted time would only slow down the others.
         for edge in room + rest:
             # A look tells what the cache holds, so which pulls are fills. A cold cache is not asked twice.
-            if not write and not self._cold(edge):
-                yield edge, edge
-            if self._fill_in_time(held):
-                for source in sources:
-                    yield edge, source
+            if self._is_cacheable(held) and not self._cold(edge):
+                yield Way(edge, edge)
+            yield from self._fills(held, edge)
         if self.settings.bypass and self.origin:
-            for source in sources:
+            for source in self._sources(held):
                 if not held.failures or source.credit >= 1.0:
-                    yield source, self.origin
+                    yield Way(source, self.origin)
         if not held.failures:
             for edge in edges:  # nothing is well: better a try than none
                 if edge not in well:
-                    for source in sources or [edge]:
-                        yield edge, source
+                    for source in self._sources(held) or [edge]:
+                        yield Way(edge, source)
+
+    def _fills(self, held: Held, edge: Server) -> Iterator[Way]:
+        """Tell how the edge may come by a copy, best first."""
+        sources = self._sources(held)
+        first = sources[0] if sources and sources[0] is not self.origin else None
+        # What comes in shares one link. More fills than it carries all end late, are given up and keep
+        # nothing, so that the next pulls miss as well; so a fill that cannot be in time is not begun.
+        link_has_room = held.joins or self._in_time(held, self.fills)
+        ageing: list[Way] = []
+        if held.workload.grace and (edge, True) not in held.known:
+            ageing.append(Way(edge, edge, stale=True))
+        if held.workload.grace and first and link_has_room and (first, True) not in held.known:
+            ageing.append(Way(edge, first, only_held=True, stale=True))
+        if link_has_room and not held.spurned:
+            # In the same way a slow origin, asked for more than it can do, is in time for nobody: past a
+            # limit of its own a parent gives only what it holds.
+            if self.fetches.out + 1 <= self.fetches.size or not self._is_cacheable(held):
+                for source in sources:
+                    yield Way(edge, source)
+            elif first and (first, False) not in held.known:
+                yield Way(edge, first, only_held=True)
+        yield from ageing
+
+    def _is_cacheable(self, held: Held) -> bool:
+        return not (held.workload.write or held.pull.write)
 
-    def _fill_in_time(self, held: Held) -> bool:
-        return self.now + held.sending * (self.fills + 1) / self.fill_limit <= held.quoted_by
+    def _in_time(self, held: Held, limit: Limit) -> bool:
+        return self.now + held.sending * (limit.out + 1) / limit.size <= held.quoted_by
 
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
         wanted = held.pull.object
         ordered: list[Server] = []
-        if not (held.workload.write or held.pull.write):
+        if self._is_cacheable(held):
             for group in self.parents:
                 ordered += sorted(group, key=lambda parent: mix(wanted, parent.told.cache), reverse=True)
         if self.origin:
@@ -325,13 +373,14 @@
 
     def _well(self, server: Server) -> bool:
         """A struck cache rests, and then gets one relay at a time until it answers."""
-        return self.now >= server.sick_until and (not server.strikes or not server.out)
+        return self.now >= server.sick_until and (not server.strikes or not server.load.out)
 
     # The gate: each rule is kept here, for every send and every final answer
 
-    def _send(self, held: Held, target: Server, source: Server, rank: int) -> bool:
+    def _send(self, held: Held, way: Way, rank: int) -> bool:
         """Send one relay, or bar it."""
         s, pull = self.settings, held.pull
+        target, source = way.target, way.source
         left = held.cut_off - self.now
         # Pulls get one answer in time, and nothing after it.
         if not held.open or held.out or left <= 0 or held.relays >= s.relay_limit:
@@ -351,32 +400,40 @@
         self._book(target, work if upper else mean)
         held.booked = self._book(source, work) if source is not target else [0.0, 0.0]
         # Purges are kept.
-        oldest = 0.0
+        oldest = held.workload.fresh + held.workload.grace if way.stale else 0.0
         for what in ((pull.object, -1), (0, pull.group)):
             made, void = self.purged.get(what, (0.0, 0.0))
             if void > self.now:
                 age = max(self.now - made, 0.001)
                 oldest = min(oldest or held.workload.fresh or age, age)
-        held.target, held.source, held.out, held.streams = target, source, True, False
-        held.sent_at = self.now
-        target.out += 1
+        held.way, held.out, held.streams, held.sent_at = way, True, False, self.now
+        held.fills = source is not target and not held.joins
+        for limit in self._limits(held):
+            limit.out += 1
         if held.failures:
             target.credit -= 1.0
-        if source is not target:
-            source.out += 1
-        held.fills = source is not target and not held.joins
-        self.fills += held.fills
         held.maybe = held.maybe or (self.now, target.told, held.relays)
         held.relays += 1
-        renew = held.workload.fresh > 0 and not held.workload.write and source is not target and not upper
         self.actions.append(
-            Relay(pull.id, target.told.cache, source.told.cache, 0 if upper else rank, s.joins, False, False,
-                  renew, left, oldest)
+            Relay(pull.id, target.told.cache, source.told.cache, 0 if upper else rank, s.joins, way.only_held,
+                  False, False, left, oldest)
         )  # fmt: skip
-        held.slowed = self.fills / self.fill_limit if held.fills else target.out / target.limit
+        slowing = self.fills if held.fills else target.load
+        held.slowed = slowing.out / slowing.size
         self._look_later(held, held.sending * max(1.0, held.slowed) + LOOK)
         return True
 
+    def _limits(self, held: Held) -> list[Limit]:
+        """Tell which limits the relay that is out counts against."""
+        limits = [held.way.target.load]
+        if held.way.source is not held.way.target:
+            limits.append(held.way.source.load)
+        if held.fills:
+            limits.append(self.fills)
+            if not held.way.only_held:
+                limits.append(self.fetches)
+        return limits
+
     def _may_repeat(self, held: Held, target: Server) -> bool:
         """Tell whether a pull that may have run may go to this cache as well."""
         assert held.maybe is not None
@@ -442,11 +499,8 @@
         if held is None or not held.out or event.relay != held.relays - 1:
             return
         held.out = False
-        assert held.target is not None and held.source is not None
-        held.target.out -= 1
-        if held.source is not held.target:
-            held.source.out -= 1
-        self.fills -= held.fills
+        for limit in self._limits(held):
+            limit.out -= 1
         self._learn(held, event)
         if event.outcome in NEVER_RAN and held.maybe and held.maybe[2] == event.relay:
             held.maybe = None
@@ -458,49 +512,55 @@
             self.held.pop(event.id, None)
 
     def _learn(self, held: Held, event: Ended) -> None:
-        target, source = held.target, held.source
-        assert target is not None and source is not None
+        target, source = held.way.target, held.way.source
         outcome, remark = event.outcome, event.remark
-        looked = source is target and outcome is Outcome.MISS
+        looked = outcome is Outcome.MISS and not held.way.fetches and remark not in SOURCE_AT_FAULT
+        if looked:
+            held.known.append((source, held.way.stale))
         held.lacks = target if looked or held.lacks is target else None
         held.joins = looked and remark is Remark.JOINED
+        held.spurned = held.spurned or remark is Remark.ORIGIN_FAILED
         held.failures += outcome is not Outcome.OK and not looked
+        if remark is Remark.HIT or looked:
+            held.booked[1] = 0.0  # nothing came from the source
         sent_in = event.took - event.waited if held.fills else event.took
         at_pace = outcome is Outcome.OK and sent_in <= held.sending * max(1.0, held.slowed) + SLACK
-        if held.fills and remark is not Remark.HIT:
+        if held.fills and remark is not Remark.HIT and not looked:
             if at_pace:
-                if self.fills + 2 > self.fill_limit:
-                    self.fill_limit += 1.0 / self.fill_limit
-            elif self.now - self.fill_cut_at >= CUT_PAUSE and outcome in (Outcome.OK, Outcome.TIMEOUT):
-                self.fill_cut_at = self.now
-                self.fill_limit = max(self.fill_limit * CUT, LEAST_LIMIT)
-        if remark is Remark.HIT and not (held.workload.fresh and held.booked[1]):
-            held.booked[1] = 0.0  # a hit asked nothing of its source
+                self.fills.good()
+            elif outcome in (Outcome.OK, Outcome.TIMEOUT):
+                self.fills.bad(self.now)
+            if remark is Remark.ORIGIN_FAILED or event.waited > STRAIN * self.usual_wait + SLACK:
+                self.fetches.bad(self.now, proven=True)
+            elif remark is Remark.FILLED_FROM_ORIGIN:
+                self.fetches.good()
+                self.usual_wait += 0.05 * (event.waited - self.usual_wait)
         if outcome is Outcome.OK:
             self._good(target)
             if remark in (Remark.FILLED, Remark.FILLED_FROM_ORIGIN) and source is not target:
                 self._good(source)
             if not held.fills or remark is Remark.HIT:
-                if not at_pace:
-                    self._cut(target)
-                elif target.out + 2 > target.limit:
-                    target.limit = min(target.limit + 1.0 / target.limit, target.most)
+                if at_pace:
+                    target.load.good()
+                else:
+                    target.load.bad(self.now)
         elif remark in SOURCE_AT_FAULT:
             target.answered = self.now
             self._strike(source)
-        elif outcome is Outcome.FULL:
+        elif outcome is Outcome.FULL and remark is not Remark.ORIGIN_FAILED:
             target.answered = self.now
             held.full.append(target)
             if remark is not Remark.NO_PLACE:
-                target.limit = min(target.limit, target.out + 1.0)
-                self._cut(target)
+                target.load.bad(self.now, proven=True)
         elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._strike(target)
         elif outcome is Outcome.TIMEOUT:
-            self._cut(target)
-        elif outcome in (Outcome.MISS, Outcome.ERROR):
+            target.load.bad(self.now)
+        elif outcome in (Outcome.MISS, Outcome.ERROR, Outcome.FULL):
             target.answered = self.now
             target.credit = min(target.credit + CREDIT, MOST_CREDIT)
+            if looked and source is not target:
+                self._good(source)
 
     def _good(self, server: Server) -> None:
         server.answered = self.now
@@ -508,11 +568,6 @@
         server.sick_until = 0.0
         server.credit = min(server.credit + CREDIT, MOST_CREDIT)
 
-    def _cut(self, server: Server) -> None:
-        if self.now - server.cut_at >= CUT_PAUSE:
-            server.cut_at = self.now
-            server.limit = max(server.limit * CUT, LEAST_LIMIT)
-
     def _strike(self, server: Server) -> None:
         """Leave a server alone that failed; relays that fail together count once."""
         if self.now < server.sick_until:
@@ -534,8 +589,7 @@
         held = self.held.get(mark)
         if held is None or not held.out or held.streams or self.now < held.look_at - 1.0:
             return
-        target, source = held.target, held.source
-        assert target is not None and source is not None
+        target, source = held.way.target, held.way.source
         silent = target
         if target.answered >= held.sent_at:
             # A slow origin or a full link delays what comes from every source: only one that stays behind
@@ -549,7 +603,7 @@
         # on it goes elsewhere while there is time. It harms where one long answer is all that it works on.
         self._strike(silent)
         for other in self.held.values():
-            if other.out and not other.streams and silent in (other.target, other.source):
+            if other.out and not other.streams and silent in (other.way.target, other.way.source):
                 self.actions.append(Recall(other.pull.id, other.relays - 1))
 
     def _hung_up(self, pull: int) -> None:
