--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -318,7 +318,7 @@
             if self._is_cacheable(held) and not self._cold(edge):
                 yield Way(edge, edge)
             yield from self._fills(held, edge)
-        if self.settings.bypass and self.origin:
+        if self.settings.bypass and self.origin and self._in_time(held, self.fills):
             for source in self._sources(held):
                 if not held.failures or source.credit >= 1.0:
                     yield Way(source, self.origin)
