--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -25,7 +25,7 @@
 FIRST_CREDIT, CREDIT, MOST_CREDIT = 1.0, 0.2, 10.0  # at the start, for each good answer, at most
 LEAST_LIMIT, UNSIZED_LIMIT = 2.0, 8.0  # relays out at a cache: at least, and at first with sizes untold
 CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
-COLD_PART = 0.6  # share of a cold cache's budget that is used: sizes and weights are not exact
+COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.7  # share of the quoted time that a pull may take at a cache before it spills to the next
 STRAIN = 3.0  # times the usual wait for the origin that show that it is asked for too much
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
@@ -325,8 +325,9 @@
         if not held.failures:
             for edge in edges:  # nothing is well: better a try than none
                 if edge not in well:
-                    for source in self._sources(held) or [edge]:
-                        yield Way(edge, source)
+                    if self._is_cacheable(held):
+                        yield Way(edge, edge)
+                    yield from self._fills(held, edge)
 
     def _fills(self, held: Held, edge: Server) -> Iterator[Way]:
         """Tell how the edge may come by a copy, best first."""
@@ -521,8 +522,8 @@
         held.joins = looked and remark is Remark.JOINED
         held.spurned = held.spurned or remark is Remark.ORIGIN_FAILED
         held.failures += outcome is not Outcome.OK and not looked
-        if remark is Remark.HIT or looked:
-            held.booked[1] = 0.0  # nothing came from the source
+        if remark is Remark.HIT:
+            held.booked[1] = 0.0  # the source was not asked; one that answers that it lacks the copy was
         sent_in = event.took - event.waited if held.fills else event.took
         at_pace = outcome is Outcome.OK and sent_in <= held.sending * max(1.0, held.slowed) + SLACK
         if held.fills and remark is not Remark.HIT and not looked:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from cometseam import interface as i
-from tests.drive import ORIGIN, SETTINGS, Drive, line
+from tests.drive import ORIGIN, PARENTS, SETTINGS, Drive, line
 
 
 def test_first_seen_passes_unkept_and_later_pulls_are_ranked() -> None:
@@ -45,6 +45,65 @@
     drive.check("cold")
 
 
+def test_asks_for_what_a_cold_parent_holds_stay_in_its_budget() -> None:
+    drive = Drive(caches=(11, 21, ORIGIN))
+    drive.tell(i.Members(i.ListKind.CHANGES, (line(21, ready_at=drive.now),)))
+    drive.front.fetches.size = 0.0  # the origin is strained
+    for number in range(1, 7):
+        drive.pull(number, wanted=number)
+        drive.lack(number)
+        if drive.last[number].source == 21:
+            drive.end(number, i.Outcome.MISS, i.Remark.SOURCE_LACKS)
+    drive.trace = [text for text in drive.trace if "11 from 11" not in text]
+    drive.check("asks")
+
+
+def test_a_dead_parents_full_answers_do_not_count_against_the_cache() -> None:
+    drive = Drive()
+    for number in range(1, 4):
+        drive.pull(number)
+        drive.lack(number)
+        if drive.last[number].source == 22:
+            drive.end(number, i.Outcome.FULL, i.Remark.SOURCE_BROKE, after=20.0)
+    drive.check("dead_parent")
+
+
+def test_a_parent_is_silent_only_where_another_delivers() -> None:
+    drive = Drive()
+    for number, wanted in ((1, 5), (2, 1)):
+        drive.pull(number, wanted=wanted)
+        drive.lack(number)
+    drive.tell(i.HungUp(99))
+    drive.pull(3, wanted=5)
+    drive.end(3)  # the cache itself answers
+    drive.tell(i.Rang(1), after=600.0)  # both parents are late: nothing is done
+    drive.end(2, remark=i.Remark.FILLED)
+    drive.tell(i.Rang(1), after=400.0)  # the other has delivered since
+    drive.check("silent_parent")
+
+
+def test_a_strained_origin_is_asked_less_and_ageing_copies_serve() -> None:
+    drive = Drive()
+    drive.pull(1)
+    drive.lack(1)
+    drive.end(1, i.Outcome.FULL, i.Remark.ORIGIN_FAILED)
+    for number in (2, 3, 4):
+        drive.pull(number)
+        drive.lack(number)
+    drive.lack(4)
+    drive.end(4, remark=i.Remark.STALE)
+    drive.check("strained")
+
+
+def test_nothing_past_the_caches_goes_over_the_links_limit() -> None:
+    drive = Drive(replace(SETTINGS, bypass=True), caches=(11, *PARENTS, ORIGIN))
+    drive.front.edges[0].sick_until = 1e9
+    for number in range(1, 30):
+        drive.pull(number, after=1.0)
+    drive.trace = [text for text in drive.trace if int(text.split()[2][:-1]) > 18]
+    drive.check("past")
+
+
 def test_purged_copies_are_too_old() -> None:
     drive = Drive()
     drive.tell(i.Purged(0, 3, 40.0))
