--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -34,7 +34,7 @@
 LOOK = 300.0  # ms past a relay's expected time before its cache's silence is looked at
 ASK = 1 << 60  # timer mark for asking for the list again; pulls' ids stay below it
 NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
-SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE, Remark.ORIGIN_FAILED)
+SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE)
 WORD = (1 << 64) - 1
 
 
