Keep first-seen fills at rank 1 where a cache loses little of what it keeps

Condition: looks find under 10% of kept copies gone; it covers a front and a cache just started, which know of no loss. It harms where a flood of new objects sets in.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -27,6 +27,7 @@
 CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
 COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.7  # share of the quoted time that a pull may take at a cache before it spills to the next
+SPARE = 0.1  # share of the kept copies found gone up to which a cache has room to spare
 STRAIN = 3.0  # times the usual wait for the origin that show that it is asked for too much
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
@@ -49,8 +50,6 @@
 class Limit:
     """How many may be out at once; it grows by one where a round went well and is cut by a share."""
 
-    __slots__ = ("cut_at", "most", "out", "size")
-
     def __init__(self, size: float) -> None:
         self.size = max(size, LEAST_LIMIT)
         self.most = 4.0 * self.size
@@ -70,13 +69,12 @@
 class Server:
     """One start of a cache, a parent or the origin, as this front knows it."""
 
-    __slots__ = ("answered", "credit", "load", "sick_until", "spent", "started", "strikes", "told", "weight")
-
     def __init__(self, told: Listed, weight: float, limit: float) -> None:
         self.told, self.weight, self.started = told, weight, told.ready_at
         self.load = Limit(limit)
         self.credit = FIRST_CREDIT
         self.answered = self.sick_until = 0.0
+        self.loss = 0.0  # share of what it kept that looks find gone, lately
         self.strikes = 0
         self.spent: deque[list[float]] = deque()  # [time, work] sent; what is older than a window leaves
 
@@ -84,20 +82,15 @@
 class Track:
     """When one part of an object was asked for lately."""
 
-    __slots__ = ("gaps", "last", "workload")
-
     def __init__(self, now: float, workload: int) -> None:
         self.last, self.workload = now, workload
+        self.kept_at: tuple[Server, float] | None = None  # the cache that kept it, fresh until
         self.gaps: deque[float] = deque(maxlen=GAPS)
 
 
 class Held:
     """A pull that is owed its final answer, or whose relay is still out."""
 
-    __slots__ = ("booked", "course", "cut_off", "failures", "fills", "full", "joins", "known", "lacks",
-                 "look_at", "maybe", "open", "out", "pull", "quoted_by", "relays", "sending", "sent_at",
-                 "slowed", "spurned", "streams", "way", "workload")  # fmt: skip
-
     def __init__(self, pull: Pull, workload: Workload, now: float, pace: float) -> None:
         self.pull, self.workload = pull, workload
         self.cut_off = now + pull.left
@@ -110,6 +103,8 @@
         self.known: list[tuple[Server, bool]] = []  # who holds no copy; True: not even an ageing one
         self.fills = self.joins = False  # whether the relay out may fill; whether a fill was under way
         self.spurned = False  # the origin failed it
+        self.track: Track | None = None
+        self.rank = 0  # at which the relay out is kept
         self.way: Way
         self.sent_at = self.look_at = self.slowed = 0.0
         self.booked: list[float] = [0.0, 0.0]
@@ -241,11 +236,12 @@
         key = pull.object << 16 | pull.part
         track = self.tracks.get(key)
         if track is None:
-            self.tracks[key] = Track(self.now, pull.workload)
+            held.track = self.tracks[key] = Track(self.now, pull.workload)
             self.tracked[pull.workload] += 1
             if len(self.tracks) > TRACKED:
                 self.tracked[self.tracks.popitem(last=False)[1].workload] -= 1
             return 0
+        held.track = track
         self.tracks.move_to_end(key)
         track.gaps.append(max(self.now - track.last, GAP_FLOOR))
         track.last = self.now
@@ -277,7 +273,10 @@
         while True:
             ended = None
             for way in self._ways(held):
-                ended = yield way, rank
+                # First-seen fills pass unkept to spare the room. A cache that loses little of what it keeps
+                # has room to spare, so has one just started; a front just started knows of no loss: rank 1.
+                spare = way.source is not way.target and way.target.loss < SPARE
+                ended = yield way, rank or int(spare and self._is_cacheable(held))
                 if ended is not None:
                     break
             if ended is None or not held.open:
@@ -314,20 +313,20 @@
         if not room and rest and not held.failures and not self._in_time(held, rest[0].load):
             return  # Overload: what cannot be answered by its quoted time would only slow down the others.
         for edge in room + rest:
-            # A look tells what the cache holds, so which pulls are fills. A cold cache is not asked twice.
-            if self._is_cacheable(held) and not self._cold(edge):
-                yield Way(edge, edge)
-            yield from self._fills(held, edge)
+            yield from self._at(held, edge)
         if self.settings.bypass and self.origin and self._in_time(held, self.fills):
             for source in self._sources(held):
                 if not held.failures or source.credit >= 1.0:
                     yield Way(source, self.origin)
-        if not held.failures:
-            for edge in edges:  # nothing is well: better a try than none
-                if edge not in well:
-                    if self._is_cacheable(held):
-                        yield Way(edge, edge)
-                    yield from self._fills(held, edge)
+        for edge in edges if not held.failures else []:
+            if edge not in well:  # nothing is well: better a try than none
+                yield from self._at(held, edge)
+
+    def _at(self, held: Held, edge: Server) -> Iterator[Way]:
+        # A look tells what the cache holds, so which pulls are fills. A cold cache is not asked twice.
+        if self._is_cacheable(held) and not self._cold(edge):
+            yield Way(edge, edge)
+        yield from self._fills(held, edge)
 
     def _fills(self, held: Held, edge: Server) -> Iterator[Way]:
         """Tell how the edge may come by a copy, best first."""
@@ -407,7 +406,7 @@
             if void > self.now:
                 age = max(self.now - made, 0.001)
                 oldest = min(oldest or held.workload.fresh or age, age)
-        held.way, held.out, held.streams, held.sent_at = way, True, False, self.now
+        held.way, held.rank, held.out, held.streams, held.sent_at = way, rank, True, False, self.now
         held.fills = source is not target and not held.joins
         for limit in self._limits(held):
             limit.out += 1
@@ -524,6 +523,12 @@
         held.failures += outcome is not Outcome.OK and not looked
         if remark is Remark.HIT:
             held.booked[1] = 0.0  # the source was not asked; one that answers that it lacks the copy was
+        kept = held.track.kept_at if held.track and not held.way.stale else None
+        if kept and kept[0] is target is source and kept[1] > self.now and (looked or remark is Remark.HIT):
+            target.loss += 0.02 * (looked - target.loss)
+        if held.track and outcome is Outcome.OK and held.rank:
+            fresh = held.workload.fresh
+            held.track.kept_at = (target, self.now + fresh if fresh else float("inf"))
         sent_in = event.took - event.waited if held.fills else event.took
         at_pace = outcome is Outcome.OK and sent_in <= held.sending * max(1.0, held.slowed) + SLACK
         if held.fills and remark is not Remark.HIT and not looked:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -8,6 +8,8 @@
 
 def test_first_seen_passes_unkept_and_later_pulls_are_ranked() -> None:
     drive = Drive()
+    for edge in drive.front.edges:
+        edge.loss = 0.5  # the caches are full
     for number in range(1, 4):
         drive.pull(number, after=400.0)
         drive.lack(number)
@@ -17,6 +19,16 @@
     drive.check("ordinary")
 
 
+def test_first_seen_fills_are_kept_until_kept_copies_are_found_gone() -> None:
+    drive = Drive()
+    for number in range(1, 13):
+        drive.pull(number, wanted=6 + number // 12)
+        drive.lack(number)
+        drive.end(number, remark=i.Remark.FILLED)
+    drive.trace = drive.trace[:2] + drive.trace[-2:]
+    drive.check("spare_room")
+
+
 def test_once_only_and_tagged_pulls_are_not_run_twice() -> None:
     drive = Drive()
     for number, workload in enumerate((0, 1, 2), 1):
