Begin a pull or a fill only where most of the quoted time is to spare

It should also guard against limits learnt too high; it harms where links are idle and the estimate is off, which the limits' growth mends.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -27,6 +27,7 @@
 CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
 COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.7  # share of the quoted time that a pull may take at a cache before it spills to the next
+CERTAIN = 0.75  # share of the quoted time that a pull may be expected to take and still be begun
 SPARE = 0.1  # share of the kept copies found gone up to which a cache has room to spare
 STRAIN = 3.0  # times the usual wait for the origin that show that it is asked for too much
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
@@ -354,7 +355,7 @@
         return not (held.workload.write or held.pull.write)
 
     def _in_time(self, held: Held, limit: Limit) -> bool:
-        return self.now + held.sending * (limit.out + 1) / limit.size <= held.quoted_by
+        return held.sending * (limit.out + 1) / limit.size <= CERTAIN * (held.quoted_by - self.now)
 
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
