--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -311,16 +311,16 @@
         ample = SPILL * (held.quoted_by - self.now)
         room = [edge for edge in well if held.sending * (edge.load.out + 1) / edge.load.size <= ample]
         rest = sorted((edge for edge in well if edge not in room), key=lambda e: e.load.out / e.load.size)
-        if not room and rest and not held.failures and not self._in_time(held, rest[0].load):
-            return  # Overload: what cannot be answered by its quoted time would only slow down the others.
-        for edge in room + rest:
+        # Overload: what cannot be answered by its quoted time would only slow down the others.
+        fit = room + [edge for edge in rest if self._in_time(held, edge.load)]
+        for edge in fit:
             yield from self._at(held, edge)
-        if self.settings.bypass and self.origin and self._in_time(held, self.fills):
+        if fit and self.settings.bypass and self.origin and self._in_time(held, self.fills):
             for source in self._sources(held):
                 if not held.failures or source.credit >= 1.0:
                     yield Way(source, self.origin)
-        for edge in edges if not held.failures else []:
-            if edge not in well:  # nothing is well: better a try than none
+        if not well and not held.failures:
+            for edge in edges:  # nothing is well: better a try than none
                 yield from self._at(held, edge)
 
     def _at(self, held: Held, edge: Server) -> Iterator[Way]:
