Blame a slow transfer over a link that is not full on its source

Each source now has its own limit, and a source that would not be in time comes after the others. Where fullness is not told, both are blamed; it harms where a cache's own link out is what is slow.

--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -101,7 +101,7 @@
     origin_kind: int
     asks_for_list: bool
     sized: bool
-    report: tuple[str, ...]
+    link_report: int
     probes: bool
     recalls: bool
     tells_retry: bool
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -56,13 +56,11 @@
         self.most = 4.0 * self.size
         self.out, self.cut_at = 0, 0.0
 
-    def good(self) -> None:
-        if self.out + 2 > self.size:
+    def judge(self, well: bool, now: float, proven: bool = False) -> None:
+        """Cut it by what is out where that is proven too much; cuts close together have one cause."""
+        if well and self.out + 2 > self.size:
             self.size = min(self.size + 1.0 / self.size, self.most)
-
-    def bad(self, now: float, proven: bool = False) -> None:
-        """Cut it, by what is out where that is proven to be too much; cuts close together have one cause."""
-        if now - self.cut_at >= CUT_PAUSE:
+        if not well and now - self.cut_at >= CUT_PAUSE:
             self.cut_at = now
             self.size = max(CUT * (min(self.size, self.out + 1.0) if proven else self.size), LEAST_LIMIT)
 
@@ -85,7 +83,7 @@
 
     def __init__(self, now: float, workload: int) -> None:
         self.last, self.workload = now, workload
-        self.kept_at: tuple[Server, float] | None = None  # the cache that kept it, fresh until
+        self.kept_at: tuple[Server, float] | None = None  # by which cache, and fresh until when
         self.gaps: deque[float] = deque(maxlen=GAPS)
 
 
@@ -121,10 +119,6 @@
     only_held: bool = False  # the source fetches nothing for it
     stale: bool = False  # an ageing copy will do
 
-    @property
-    def fetches(self) -> bool:
-        return self.source is not self.target and not self.only_held
-
 
 Course = Generator[tuple[Way, int], Ended | None, None]
 
@@ -148,6 +142,7 @@
         self.values: deque[float] = deque(maxlen=VALUES)
         self.cuts = [0.0, 0.0]
         self.uncut = 0
+        self.link_full = float("inf")  # transfers on the zone's link over those that fit, as last told
         self.usual_wait = 100.0  # ms to a fetched copy's first byte, lately
         self.mean_sending = [workload.quoted for workload in settings.workloads]
         self.purged: dict[tuple[int, int], tuple[float, float]] = {}  # made, void; a new one clears these
@@ -280,10 +275,8 @@
                 ended = yield way, rank or int(spare and self._is_cacheable(held))
                 if ended is not None:
                     break
-            if ended is None or not held.open:
-                return
-            if self.now + held.sending > held.cut_off:
-                return  # no relay could finish any more: the client is told at once
+            if ended is None or not held.open or self.now + held.sending > held.cut_off:
+                return  # where no relay could finish any more, the client is told at once
 
     def _advance(self, held: Held, ended: Ended | None) -> None:
         """Resume a pull's course until one of its ways is sent or it has none left."""
@@ -366,7 +359,7 @@
                 ordered += sorted(group, key=lambda parent: mix(wanted, parent.told.cache), reverse=True)
         if self.origin:
             ordered.append(self.origin)
-        return sorted(ordered, key=lambda source: not self._well(source))
+        return sorted(ordered, key=lambda e: 2 * (not self._well(e)) + (not self._in_time(held, e.load)))
 
     def _draw(self, wanted: int, server: Server) -> float:
         """Rendezvous hashing: each cache draws for the object; twice the weight wins twice as often."""
@@ -398,8 +391,10 @@
         work = max(mean, held.sending)
         if not self._fits(target, work) or (source is not target and not self._fits(source, work)):
             return False
-        self._book(target, work if upper else mean)
-        held.booked = self._book(source, work) if source is not target else [0.0, 0.0]
+        target.spent.append([self.now, work if upper else mean])
+        held.booked = [self.now, work]
+        if source is not target:
+            source.spent.append(held.booked)
         # Purges are kept.
         oldest = held.workload.fresh + held.workload.grace if way.stale else 0.0
         for what in ((pull.object, -1), (0, pull.group)):
@@ -442,15 +437,9 @@
         workload = held.workload
         if workload.effect is not Effect.TAGGED:
             return workload.effect is Effect.REPEATABLE
-        if self.now >= at + workload.window:
-            return False
-        match workload.group:
-            case Group.ALL:
-                return True
-            case Group.ZONE:
-                return target.told.zone == first.zone
-            case Group.CELL:
-                return target.told.cell == first.cell and target.told.zone == first.zone
+        same_zone = workload.group is Group.ALL or target.told.zone == first.zone
+        same_cell = workload.group is not Group.CELL or target.told.cell == first.cell
+        return same_zone and same_cell and self.now < at + workload.window
 
     def _cold(self, server: Server) -> float:
         """Tell the work that a cold server may get in a window that began before now; 0 where it is warm."""
@@ -473,25 +462,16 @@
         budget = self._cold(server)
         return not budget or sum(entry[1] for entry in server.spent) + work <= budget
 
-    def _book(self, server: Server, work: float) -> list[float]:
-        entry = [self.now, work]
-        server.spent.append(entry)
-        return entry
-
     def _answer(self, held: Held) -> None:
         """Give the final answer: shed where trying again is harmless, else errored."""
         held.open = False
         workload = held.workload
-        harmless = (
-            held.maybe is None
-            or workload.effect is Effect.REPEATABLE
-            or (workload.effect is Effect.TAGGED and workload.group is Group.ALL)
-        )
-        if not harmless or held.out:
+        dropped = workload.effect is Effect.TAGGED and workload.group is Group.ALL  # a repeat is known
+        if held.maybe is None or workload.effect is Effect.REPEATABLE or dropped:
+            back = min(workload.quoted, self.settings.longest_retry) if self.settings.tells_retry else 0.0
+            self.actions.append(Shed(held.pull.id, back))
+        else:
             self.actions.append(Error(held.pull.id))
-            return
-        back = min(workload.quoted, self.settings.longest_retry) if self.settings.tells_retry else 0.0
-        self.actions.append(Shed(held.pull.id, back))
 
     # What relays tell
 
@@ -515,7 +495,10 @@
     def _learn(self, held: Held, event: Ended) -> None:
         target, source = held.way.target, held.way.source
         outcome, remark = event.outcome, event.remark
-        looked = outcome is Outcome.MISS and not held.way.fetches and remark not in SOURCE_AT_FAULT
+        if self.settings.link_report < len(event.load) and target in self.edges:
+            self.link_full = event.load[self.settings.link_report]
+        looked = outcome is Outcome.MISS and remark not in SOURCE_AT_FAULT
+        looked = looked and (source is target or held.way.only_held)
         if looked:
             held.known.append((source, held.way.stale))
         held.lacks = target if looked or held.lacks is target else None
@@ -533,24 +516,23 @@
         sent_in = event.took - event.waited if held.fills else event.took
         at_pace = outcome is Outcome.OK and sent_in <= held.sending * max(1.0, held.slowed) + SLACK
         if held.fills and remark is not Remark.HIT and not looked:
-            if at_pace:
-                self.fills.good()
-            elif outcome in (Outcome.OK, Outcome.TIMEOUT):
-                self.fills.bad(self.now)
+            if outcome in (Outcome.OK, Outcome.TIMEOUT):
+                # A slow transfer over a link that is not full is its source's fault: a parent that has gone
+                # grey answers at once and sends slowly. Where fullness is not told, both are blamed.
+                source.load.judge(at_pace, self.now)
+                if at_pace or self.link_full > 1.0:
+                    self.fills.judge(at_pace, self.now)
             if remark is Remark.ORIGIN_FAILED or event.waited > STRAIN * self.usual_wait + SLACK:
-                self.fetches.bad(self.now, proven=True)
+                self.fetches.judge(False, self.now, proven=True)
             elif remark is Remark.FILLED_FROM_ORIGIN:
-                self.fetches.good()
+                self.fetches.judge(True, self.now)
                 self.usual_wait += 0.05 * (event.waited - self.usual_wait)
         if outcome is Outcome.OK:
             self._good(target)
             if remark in (Remark.FILLED, Remark.FILLED_FROM_ORIGIN) and source is not target:
                 self._good(source)
             if not held.fills or remark is Remark.HIT:
-                if at_pace:
-                    target.load.good()
-                else:
-                    target.load.bad(self.now)
+                target.load.judge(at_pace, self.now)
         elif remark in SOURCE_AT_FAULT:
             target.answered = self.now
             self._strike(source)
@@ -558,11 +540,11 @@
             target.answered = self.now
             held.full.append(target)
             if remark is not Remark.NO_PLACE:
-                target.load.bad(self.now, proven=True)
+                target.load.judge(False, self.now, proven=True)
         elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._strike(target)
         elif outcome is Outcome.TIMEOUT:
-            target.load.bad(self.now)
+            target.load.judge(False, self.now)
         elif outcome in (Outcome.MISS, Outcome.ERROR, Outcome.FULL):
             target.answered = self.now
             target.credit = min(target.credit + CREDIT, MOST_CREDIT)
--- a/cometseam/wire/settings.py
+++ b/cometseam/wire/settings.py
@@ -30,7 +30,7 @@
         origin_kind=int(family.get("storeKind", -1)),
         asks_for_list=info["discovery"] == "ask",
         sized=info["weights"] in ("nominal", "rough"),
-        report=tuple(str(name) for name in info["report"]["names"]),
+        link_report=[*info["report"]["names"], "x1"].index("x1"),
         probes=bool(ceilings["probing"]),
         recalls=bool(ceilings["cancel"]),
         tells_retry=bool(ceilings["retryAfter"]),
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -173,3 +173,16 @@
     drive.tell(i.HungUp(1))
     drive.tell(i.Ended(1, 0, 11, i.Outcome.OK, i.Remark.HIT, 1.0, 0.0, True, ()))
     drive.check("nothing")
+
+
+def test_a_parent_that_sends_slowly_over_an_empty_link_is_passed_over() -> None:
+    drive = Drive()
+    drive.front.link_full = 0.3
+    for number in range(1, 13):
+        drive.pull(number, after=600.0)
+        drive.lack(number)
+        slow = drive.last[number].source == 22
+        drive.end(number, remark=i.Remark.FILLED, after=900.0 if slow else 100.0)
+    drive.trace = [text for text in drive.trace if "11 from 11" not in text]
+    drive.trace.append(f"limit on the link {drive.front.fills.size:g}")
+    drive.check("grey_parent")
