--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -33,7 +33,7 @@
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
 FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
-LOOK = 300.0  # ms past a relay's expected time before its cache's silence is looked at
+LOOK = 600.0  # ms past a relay's expected time before its cache's silence is looked at
 ASK = 1 << 60  # timer mark for asking for the list again; pulls' ids stay below it
 NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
 SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE)
@@ -308,7 +308,7 @@
         fit = room + [edge for edge in rest if self._in_time(held, edge.load)]
         for edge in fit:
             yield from self._at(held, edge)
-        if fit and self.settings.bypass and self.origin and self._in_time(held, self.fills):
+        if (fit or not well) and self.settings.bypass and self.origin and self._in_time(held, self.fills):
             for source in self._sources(held):
                 if not held.failures or source.credit >= 1.0:
                     yield Way(source, self.origin)
