--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -28,6 +28,7 @@
 COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.55  # share of the quoted time that a pull may take at a cache before it spills to the next
 CERTAIN = 0.65  # share of the quoted time that a pull may be expected to take and still be begun
+IDLE = 0.5  # share of a limit up to which a pull may go on past its quoted time
 SPARE = 0.1  # share of the kept copies found gone up to which a cache has room to spare
 STRAIN = 3.0  # times the usual wait for the origin that show that it is asked for too much
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
@@ -348,7 +349,10 @@
         return not (held.workload.write or held.pull.write)
 
     def _in_time(self, held: Held, limit: Limit) -> bool:
-        return held.sending * (limit.out + 1) / limit.size <= CERTAIN * (held.quoted_by - self.now)
+        """Tell whether it can be in the quoted time, or late at a place that is not busy."""
+        taking = held.sending * (limit.out + 1) / limit.size
+        by = held.cut_off if limit.out + 1 <= IDLE * limit.size else held.quoted_by
+        return taking <= CERTAIN * (by - self.now)
 
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
