Begin a fetch only where the wait of late leaves it in time

Two fetches always go, so that the wait stays known. It should also guard against slow paths to the origin; it harms where waits fall as fast as they rose.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -144,7 +144,7 @@
         self.cuts = [0.0, 0.0]
         self.uncut = 0
         self.link_full = float("inf")  # transfers on the zone's link over those that fit, as last told
-        self.usual_wait = 100.0  # ms to a fetched copy's first byte, lately
+        self.usual_wait = self.wait = 100.0  # ms to a fetched copy's first byte, of late and just now
         self.mean_sending = [workload.quoted for workload in settings.workloads]
         self.purged: dict[tuple[int, int], tuple[float, float]] = {}  # made, void; a new one clears these
 
@@ -338,7 +338,8 @@
         if link_has_room and not held.spurned:
             # In the same way a slow origin, asked for more than it can do, is in time for nobody: past a
             # limit of its own a parent gives only what it holds.
-            if self.fetches.out + 1 <= self.fetches.size or not self._is_cacheable(held):
+            soon = self.now + self.wait + held.sending <= held.quoted_by or self.fetches.out < LEAST_LIMIT
+            if (soon and self.fetches.out + 1 <= self.fetches.size) or not self._is_cacheable(held):
                 for source in sources:
                     yield Way(edge, source)
             elif first and (first, False) not in held.known:
@@ -526,6 +527,8 @@
                 source.load.judge(at_pace, self.now)
                 if at_pace or self.link_full > 1.0:
                     self.fills.judge(at_pace, self.now)
+            if remark in (Remark.ORIGIN_FAILED, Remark.FILLED_FROM_ORIGIN):
+                self.wait += 0.2 * (event.waited - self.wait)
             if remark is Remark.ORIGIN_FAILED or event.waited > STRAIN * self.usual_wait + SLACK:
                 self.fetches.judge(False, self.now, proven=True)
             elif remark is Remark.FILLED_FROM_ORIGIN:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -188,3 +188,12 @@
     drive.trace = [text for text in drive.trace[-12:] if "11 from 11" not in text]
     drive.trace.append(f"limit on the link {drive.front.fills.size:g}")
     drive.check("grey_parent")
+
+
+def test_a_fetch_that_would_wait_too_long_is_not_begun() -> None:
+    drive = Drive()
+    drive.front.wait = 900.0
+    for number in range(1, 5):
+        drive.pull(number, wanted=5)
+        drive.lack(number)
+    drive.check("long_wait")
