--- a/tests/drive.py
+++ b/tests/drive.py
@@ -48,8 +48,8 @@
                 self.last[action.id] = action
                 self.relays[action.id] = self.relays.get(action.id, -1) + 1
                 text = f"relay to {action.cache} from {action.source} rank {action.rank}"
-X only" if action.only_held else ""
-            text += f" oldest {action.oldest:g}" if action.oldest else ""
+                text += " held only" if action.only_held else ""
+                text += f" oldest {action.oldest:g}" if action.oldest else ""
             elif isinstance(action, i.Wake):
                 continue
             else:
