Hold a cache that takes no connections to be cold when it is back

Should guard as well against restarts that no list shows; it harms where a cache was merely full of connections.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -201,7 +201,7 @@
         if entry.lifecycle is not Lifecycle.READY:
             return
         weight = entry.weight if self.settings.sized and entry.weight > 0 else 1.0
-        if known and known.started == entry.ready_at:
+        if known and known.told.ready_at == entry.ready_at:
             known.told, known.weight = entry, weight
             self.servers[entry.cache] = known
             return
@@ -550,6 +550,10 @@
                 target.load.judge(False, self.now, proven=True)
         elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._strike(target)
+            if outcome is Outcome.CONNECT_FAILED:
+                # What takes no connections is down, and cold when it is back, seconds before the list tells
+                # so. It harms where a cache that was merely full is then sent too little.
+                target.started = self.now
         elif outcome is Outcome.TIMEOUT:
             target.load.judge(False, self.now)
         elif outcome in (Outcome.MISS, Outcome.ERROR, Outcome.FULL):
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -197,3 +197,15 @@
         drive.pull(number, wanted=5)
         drive.lack(number)
     drive.check("long_wait")
+
+
+def test_a_cache_that_took_no_connections_is_cold_when_it_is_back() -> None:
+    drive = Drive(caches=(11, 21, ORIGIN))
+    drive.pull(1)
+    drive.end(1, i.Outcome.CONNECT_FAILED, i.Remark.NONE, after=1.0)
+    for number in range(2, 20):
+        drive.pull(number, wanted=number, after=600.0 if number == 2 else 10.0)
+        if number in drive.last:
+            drive.end(number, after=1.0)
+    drive.trace = [text for text in drive.trace if "shed" not in text]
+    drive.check("back")
