--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -34,7 +34,7 @@
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
 FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
-LOOK = 600.0  # ms past a relay's expected time before its cache's silence is looked at
+LOOK, PATIENCE = 600.0, 4.0  # a relay's silence is looked at so many ms past so many times its expected time
 ASK = 1 << 60  # timer mark for asking for the list again; pulls' ids stay below it
 NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
 SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE)
@@ -421,7 +421,7 @@
         )  # fmt: skip
         slowing = self.fills if held.fills else target.load
         held.slowed = slowing.out / slowing.size
-        self._look_later(held, held.sending * max(1.0, held.slowed) + LOOK)
+        self._look_later(held, PATIENCE * held.sending * max(1.0, held.slowed) + LOOK)
         return True
 
     def _limits(self, held: Held) -> list[Limit]:
