--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -102,6 +102,7 @@
     asks_for_list: bool
     sized: bool
     link_report: int
+    busy_report: int
     probes: bool
     recalls: bool
     tells_retry: bool
