--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -8,7 +8,7 @@
 from bisect import bisect_right
 from collections import OrderedDict, deque
 from collections.abc import Generator, Iterator
-from math import log
+from math import exp, log
 from random import Random
 from typing import NamedTuple
 
@@ -28,6 +28,7 @@
 COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.55  # share of the quoted time that a pull may take at a cache before it spills to the next
 CERTAIN = 0.65  # share of the quoted time that a pull may be expected to take and still be begun
+CROWD_LASTS = 2000.0  # ms in which what was seen of a crowd wears off to a third
 IDLE = 0.5  # share of a limit up to which a pull may go on past its quoted time
 SPARE = 0.1  # share of the kept copies found gone up to which a cache has room to spare
 STRAIN = 3.0  # times the usual wait for the origin that show that it is asked for too much
@@ -76,9 +77,20 @@
         self.answered = self.sick_until = 0.0
         self.loss = 0.0  # share of what it kept that looks find gone, lately
         self.strikes = 0
+        self.crowd, self.crowd_at = 1.0, 0.0  # times its own time that a transfer took of late, and when
         self.spent: deque[list[float]] = deque()  # [time, work] sent; what is older than a window leaves
 
 
+    def crowded(self, now: float) -> float:
+        """Tell how many times its own time a transfer is expected to take; what was seen wears off."""
+        return 1.0 + (self.crowd - 1.0) * exp((self.crowd_at - now) / CROWD_LASTS)
+
+    def see_crowd(self, seen: float, now: float) -> None:
+        """Take in how many times its own time a transfer took."""
+        self.crowd = self.crowded(now) + 0.5 * (max(seen, 1.0) - self.crowded(now))
+        self.crowd_at = now
+
+
 class Track:
     """When one part of an object was asked for lately."""
 
@@ -341,7 +353,9 @@
             soon = self.now + self.wait + held.sending <= held.quoted_by or self.fetches.out < LEAST_LIMIT
             if (soon and self.fetches.out + 1 <= self.fetches.size) or not self._is_cacheable(held):
                 for source in sources:
-                    yield Way(edge, source)
+                    # With many fronts a source's link is full long before a front's own limit tells.
+                    if self._gives(held, source):
+                        yield Way(edge, source)
             elif first and (first, False) not in held.known:
                 yield Way(edge, first, only_held=True)
         yield from ageing
@@ -349,11 +363,11 @@
     def _is_cacheable(self, held: Held) -> bool:
         return not (held.workload.write or held.pull.write)
 
-    def _in_time(self, held: Held, limit: Limit) -> bool:
+    def _in_time(self, held: Held, limit: Limit, crowd: float = 1.0) -> bool:
         """Tell whether it can be in the quoted time, or late at a place that is not busy."""
-        taking = held.sending * (limit.out + 1) / limit.size
-        by = held.cut_off if limit.out + 1 <= IDLE * limit.size else held.quoted_by
-        return taking <= CERTAIN * (by - self.now)
+        taking = held.sending * max((limit.out + 1) / limit.size, crowd)
+        idle = limit.out + 1 <= IDLE * limit.size and 1.0 - 1.0 / crowd <= IDLE
+        return taking <= CERTAIN * ((held.cut_off if idle else held.quoted_by) - self.now)
 
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
@@ -364,7 +378,10 @@
                 ordered += sorted(group, key=lambda parent: mix(wanted, parent.told.cache), reverse=True)
         if self.origin:
             ordered.append(self.origin)
-        return sorted(ordered, key=lambda e: 2 * (not self._well(e)) + (not self._in_time(held, e.load)))
+        return sorted(ordered, key=lambda e: 2 * (not self._well(e)) + (not self._gives(held, e)))
+
+    def _gives(self, held: Held, source: Server) -> bool:
+        return self._in_time(held, source.load, source.crowded(self.now))
 
     def _draw(self, wanted: int, server: Server) -> float:
         """Rendezvous hashing: each cache draws for the object; twice the weight wins twice as often."""
@@ -525,6 +542,8 @@
                 # A slow transfer over a link that is not full is its source's fault: a parent that has gone
                 # grey answers at once and sends slowly. Where fullness is not told, both are blamed.
                 source.load.judge(at_pace, self.now)
+                if held.sending > 0.0 and self.link_full <= 1.0:
+                    source.see_crowd(max(sent_in - SLACK, 0.0) / held.sending, self.now)
                 if at_pace or self.link_full > 1.0:
                     self.fills.judge(at_pace, self.now)
             if remark in (Remark.ORIGIN_FAILED, Remark.FILLED_FROM_ORIGIN):
