--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -57,6 +57,7 @@
         self.size = max(size, LEAST_LIMIT)
         self.most = 4.0 * self.size
         self.out, self.cut_at = 0, 0.0
+        self.crowd, self.crowd_at = 1.0, 0.0  # times its own time that a transfer took of late, and when
 
     def judge(self, well: bool, now: float, proven: bool = False) -> None:
         """Cut it by what is out where that is proven too much; cuts close together have one cause."""
@@ -67,6 +68,16 @@
             self.size = max(CUT * (min(self.size, self.out + 1.0) if proven else self.size), LEAST_LIMIT)
 
 
+    def crowded(self, now: float) -> float:
+        """Tell how many times its own time a transfer is expected to take; what was seen wears off."""
+        return 1.0 + (self.crowd - 1.0) * exp((self.crowd_at - now) / CROWD_LASTS)
+
+    def see(self, seen: float, now: float) -> None:
+        """Take in how many times its own time a transfer took."""
+        self.crowd = self.crowded(now) + 0.5 * (max(seen, 1.0) - self.crowded(now))
+        self.crowd_at = now
+
+
 class Server:
     """One start of a cache, a parent or the origin, as this front knows it."""
 
@@ -77,20 +88,9 @@
         self.answered = self.sick_until = 0.0
         self.loss = 0.0  # share of what it kept that looks find gone, lately
         self.strikes = 0
-        self.crowd, self.crowd_at = 1.0, 0.0  # times its own time that a transfer took of late, and when
         self.spent: deque[list[float]] = deque()  # [time, work] sent; what is older than a window leaves
 
 
-    def crowded(self, now: float) -> float:
-        """Tell how many times its own time a transfer is expected to take; what was seen wears off."""
-        return 1.0 + (self.crowd - 1.0) * exp((self.crowd_at - now) / CROWD_LASTS)
-
-    def see_crowd(self, seen: float, now: float) -> None:
-        """Take in how many times its own time a transfer took."""
-        self.crowd = self.crowded(now) + 0.5 * (max(seen, 1.0) - self.crowded(now))
-        self.crowd_at = now
-
-
 class Track:
     """When one part of an object was asked for lately."""
 
@@ -354,7 +354,7 @@
             if (soon and self.fetches.out + 1 <= self.fetches.size) or not self._is_cacheable(held):
                 for source in sources:
                     # With many fronts a source's link is full long before a front's own limit tells.
-                    if self._gives(held, source):
+                    if self._in_time(held, source.load):
                         yield Way(edge, source)
             elif first and (first, False) not in held.known:
                 yield Way(edge, first, only_held=True)
@@ -363,10 +363,11 @@
     def _is_cacheable(self, held: Held) -> bool:
         return not (held.workload.write or held.pull.write)
 
-    def _in_time(self, held: Held, limit: Limit, crowd: float = 1.0) -> bool:
+    def _in_time(self, held: Held, limit: Limit) -> bool:
         """Tell whether it can be in the quoted time, or late at a place that is not busy."""
+        crowd = limit.crowded(self.now)
         taking = held.sending * max((limit.out + 1) / limit.size, crowd)
-        idle = limit.out + 1 <= IDLE * limit.size and 1.0 - 1.0 / crowd <= IDLE
+        idle = limit.out + 1 <= IDLE * limit.size and crowd <= 1.0 + IDLE
         return taking <= CERTAIN * ((held.cut_off if idle else held.quoted_by) - self.now)
 
     def _sources(self, held: Held) -> list[Server]:
@@ -378,10 +379,7 @@
                 ordered += sorted(group, key=lambda parent: mix(wanted, parent.told.cache), reverse=True)
         if self.origin:
             ordered.append(self.origin)
-        return sorted(ordered, key=lambda e: 2 * (not self._well(e)) + (not self._gives(held, e)))
-
-    def _gives(self, held: Held, source: Server) -> bool:
-        return self._in_time(held, source.load, source.crowded(self.now))
+        return sorted(ordered, key=lambda e: 2 * (not self._well(e)) + (not self._in_time(held, e.load)))
 
     def _draw(self, wanted: int, server: Server) -> float:
         """Rendezvous hashing: each cache draws for the object; twice the weight wins twice as often."""
@@ -519,6 +517,7 @@
         outcome, remark = event.outcome, event.remark
         if self.settings.link_report < len(event.load) and target in self.edges:
             self.link_full = event.load[self.settings.link_report]
+            self.fills.see(self.link_full, self.now)
         looked = outcome is Outcome.MISS and remark not in SOURCE_AT_FAULT
         looked = looked and (source is target or held.way.only_held)
         if looked:
@@ -542,8 +541,9 @@
                 # A slow transfer over a link that is not full is its source's fault: a parent that has gone
                 # grey answers at once and sends slowly. Where fullness is not told, both are blamed.
                 source.load.judge(at_pace, self.now)
-                if held.sending > 0.0 and self.link_full <= 1.0:
-                    source.see_crowd(max(sent_in - SLACK, 0.0) / held.sending, self.now)
+                pace = max(sent_in - SLACK, 0.0) / held.sending if held.sending else 0.0
+                if pace > self.link_full:
+                    source.load.see(pace, self.now)
                 if at_pace or self.link_full > 1.0:
                     self.fills.judge(at_pace, self.now)
             if remark in (Remark.ORIGIN_FAILED, Remark.FILLED_FROM_ORIGIN):
