Count the pace seen of a cache's hits as well

A front that has one relay out at a cache now learns from that one whether the others fill the cache's link, spills its large pulls and sheds what would be late.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -72,6 +72,10 @@
         """Tell how many times its own time a transfer is expected to take; what was seen wears off."""
         return 1.0 + (self.crowd - 1.0) * exp((self.crowd_at - now) / CROWD_LASTS)
 
+    def stretch(self, now: float) -> float:
+        """Tell how many times its own time one more would take."""
+        return max((self.out + 1) / self.size, self.crowded(now))
+
     def see(self, seen: float, now: float) -> None:
         """Take in how many times its own time a transfer took."""
         self.crowd = self.crowded(now) + 0.5 * (max(seen, 1.0) - self.crowded(now))
@@ -315,8 +319,8 @@
         # A hot object, or a cache that is slow, must not jam one link while others have room: a cache that
         # would take most of the quoted time passes the pull on in hash order, and takes it back later.
         ample = SPILL * (held.quoted_by - self.now)
-        room = [edge for edge in well if held.sending * (edge.load.out + 1) / edge.load.size <= ample]
-        rest = sorted((edge for edge in well if edge not in room), key=lambda e: e.load.out / e.load.size)
+        room = [edge for edge in well if held.sending * edge.load.stretch(self.now) <= ample]
+        rest = sorted((edge for edge in well if edge not in room), key=lambda e: e.load.stretch(self.now))
         # Overload: what cannot be answered by its quoted time would only slow down the others.
         fit = room + [edge for edge in rest if self._in_time(held, edge.load)]
         for edge in fit:
@@ -365,9 +369,8 @@
 
     def _in_time(self, held: Held, limit: Limit) -> bool:
         """Tell whether it can be in the quoted time, or late at a place that is not busy."""
-        crowd = limit.crowded(self.now)
-        taking = held.sending * max((limit.out + 1) / limit.size, crowd)
-        idle = limit.out + 1 <= IDLE * limit.size and crowd <= 1.0 + IDLE
+        taking = held.sending * limit.stretch(self.now)
+        idle = limit.out + 1 <= IDLE * limit.size and limit.crowded(self.now) <= 1.0 + IDLE
         return taking <= CERTAIN * ((held.cut_off if idle else held.quoted_by) - self.now)
 
     def _sources(self, held: Held) -> list[Server]:
@@ -559,6 +562,8 @@
                 self._good(source)
             if not held.fills or remark is Remark.HIT:
                 target.load.judge(at_pace, self.now)
+                if held.sending:
+                    target.load.see((event.took - SLACK) / held.sending, self.now)
         elif remark in SOURCE_AT_FAULT:
             target.answered = self.now
             self._strike(source)
