--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -102,7 +102,6 @@
     asks_for_list: bool
     sized: bool
     link_report: int
-    busy_report: int
     probes: bool
     recalls: bool
     tells_retry: bool
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -520,7 +520,6 @@
         outcome, remark = event.outcome, event.remark
         if self.settings.link_report < len(event.load) and target in self.edges:
             self.link_full = event.load[self.settings.link_report]
-            self.fills.see(self.link_full, self.now)
         looked = outcome is Outcome.MISS and remark not in SOURCE_AT_FAULT
         looked = looked and (source is target or held.way.only_held)
         if looked:
@@ -545,8 +544,9 @@
                 # grey answers at once and sends slowly. Where fullness is not told, both are blamed.
                 source.load.judge(at_pace, self.now)
                 pace = max(sent_in - SLACK, 0.0) / held.sending if held.sending else 0.0
-                if pace > self.link_full:
-                    source.load.see(pace, self.now)
+                for limit, blamed in ((source.load, pace > self.link_full), (self.fills, pace <= self.link_full)):
+                    if blamed or pace < limit.crowded(self.now):
+                        limit.see(pace, self.now)
                 if at_pace or self.link_full > 1.0:
                     self.fills.judge(at_pace, self.now)
             if remark in (Remark.ORIGIN_FAILED, Remark.FILLED_FROM_ORIGIN):
--- a/cometseam/wire/settings.py
+++ b/cometseam/wire/settings.py
@@ -31,7 +31,6 @@
         asks_for_list=info["discovery"] == "ask",
         sized=info["weights"] in ("nominal", "rough"),
         link_report=[*info["report"]["names"], "x1"].index("x1"),
-        busy_report=[*info["report"]["names"], "util"].index("util"),
         probes=bool(ceilings["probing"]),
         recalls=bool(ceilings["cancel"]),
         tells_retry=bool(ceilings["retryAfter"]),
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -15,7 +15,7 @@
     workloads=(MAPS, replace(MAPS, effect=i.Effect.TAGGED, group=i.Group.CELL, window=1000.0),
                replace(MAPS, effect=i.Effect.ONCE_ONLY), replace(MAPS, write=True)),
     zone=1, hub_of=(0, 0, 0), fronts_by_zone=(0, 1, 1), fronts=2, parent_kind=1, origin_kind=2,
-    asks_for_list=False, sized=True, link_report=0, busy_report=1, probes=False, recalls=True, tells_retry=True,
+    asks_for_list=False, sized=True, link_report=0, probes=False, recalls=True, tells_retry=True,
     longest_retry=1000.0, relay_limit=4, joins=True, bypass=False, siblings="none", tells="all", pace=5.0,
     cold_from=0.2, warm_after=10000.0, fall_multiple=2.0, fall_time=2000.0, parent_cold_from=0.1,
     parent_warm_after=15000.0, parent_fall_multiple=2.0, origin_fall_multiple=0.0, purge_takes=6000.0,
