Count the told fullness of a link, but only the other fronts' part of it

A front's own fills it knows better; with one or two fronts a zone the told fullness now says little, with fourteen nearly all.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -520,6 +520,8 @@
         outcome, remark = event.outcome, event.remark
         if self.settings.link_report < len(event.load) and target in self.edges:
             self.link_full = event.load[self.settings.link_report]
+            others = 1.0 - 1.0 / self._sharing(target.told)  # its own part this front knows better
+            self.fills.see(others * self.link_full, self.now)
         looked = outcome is Outcome.MISS and remark not in SOURCE_AT_FAULT
         looked = looked and (source is target or held.way.only_held)
         if looked:
