--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -160,7 +160,7 @@
         self.cuts = [0.0, 0.0]
         self.uncut = 0
         self.link_full = float("inf")  # transfers on the zone's link over those that fit, as last told
-        self.usual_wait = self.wait = 100.0  # ms to a fetched copy's first byte, of late and just now
+        self.usual_wait = 100.0  # ms to a fetched copy's first byte
         self.mean_sending = [workload.quoted for workload in settings.workloads]
         self.purged: dict[tuple[int, int], tuple[float, float]] = {}  # made, void; a new one clears these
 
@@ -354,7 +354,8 @@
         if link_has_room and not held.spurned:
             # In the same way a slow origin, asked for more than it can do, is in time for nobody: past a
             # limit of its own a parent gives only what it holds.
-            soon = self.now + self.wait + held.sending <= held.quoted_by or self.fetches.out < LEAST_LIMIT
+            wait = self.usual_wait * self.fetches.crowded(self.now)
+            soon = self.now + wait + held.sending <= held.quoted_by
             if (soon and self.fetches.out + 1 <= self.fetches.size) or not self._is_cacheable(held):
                 for source in sources:
                     # With many fronts a source's link is full long before a front's own limit tells.
@@ -551,8 +552,11 @@
                         limit.see(pace, self.now)
                 if at_pace or self.link_full > 1.0:
                     self.fills.judge(at_pace, self.now)
-            if remark in (Remark.ORIGIN_FAILED, Remark.FILLED_FROM_ORIGIN):
-                self.wait += 0.2 * (event.waited - self.wait)
+            if remark is Remark.ORIGIN_FAILED:
+                # Each failure doubles the wait expected: with many fronts, none has two out to learn from.
+                self.fetches.see(3.0 * self.fetches.crowded(self.now), self.now)
+            elif remark is Remark.FILLED_FROM_ORIGIN:
+                self.fetches.see(event.waited / self.usual_wait, self.now)
             if remark is Remark.ORIGIN_FAILED or event.waited > STRAIN * self.usual_wait + SLACK:
                 self.fetches.judge(False, self.now, proven=True)
             elif remark is Remark.FILLED_FROM_ORIGIN:
