Before shedding, ask all near parents for what they hold and look at neighbours with room

A pull that no fill could serve in time was shed though a neighbour or a second parent held the copy since an earlier spill.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -315,6 +315,10 @@
         well = [edge for edge in well if not held.failures or edge.credit >= 1.0]
         if held.lacks in well:
             yield from self._fills(held, held.lacks)
+            # Before it is shed, a neighbour that it spilled to earlier may hold it: a look costs little.
+            for edge in well:
+                if (edge, False) not in held.known and self._in_time(held, edge.load):
+                    yield Way(edge, edge)
             return
         # A hot object, or a cache that is slow, must not jam one link while others have room: a cache that
         # would take most of the quoted time passes the pull on in hash order, and takes it back later.
@@ -361,8 +365,10 @@
                     # With many fronts a source's link is full long before a front's own limit tells.
                     if self._in_time(held, source.load):
                         yield Way(edge, source)
-            elif first and (first, False) not in held.known:
-                yield Way(edge, first, only_held=True)
+            else:
+                for source in sources:
+                    if source is not self.origin and (source, False) not in held.known:
+                        yield Way(edge, source, only_held=True)
         yield from ageing
 
     def _is_cacheable(self, held: Held) -> bool:
