--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -324,9 +324,9 @@
         # would take most of the quoted time passes the pull on in hash order, and takes it back later.
         ample = SPILL * (held.quoted_by - self.now)
         room = [edge for edge in well if held.sending * edge.load.stretch(self.now) <= ample]
-        rest = sorted((edge for edge in well if edge not in room), key=lambda e: e.load.stretch(self.now))
-        # Overload: what cannot be answered by its quoted time would only slow down the others.
-        fit = room + [edge for edge in rest if self._in_time(held, edge.load)]
+        # Overload: what cannot be answered by its quoted time would only slow down the others. Where all are
+        # crowded the order stays the hash's: the least crowded of late would keep copies everywhere.
+        fit = room + [edge for edge in well if edge not in room and self._in_time(held, edge.load)]
         for edge in fit:
             yield from self._at(held, edge)
         if (fit or not well) and self.settings.bypass and self.origin and self._in_time(held, self.fills):
