--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -109,6 +109,7 @@
 
     def __init__(self, pull: Pull, workload: Workload, now: float, pace: float) -> None:
         self.pull, self.workload = pull, workload
+        self.wanted = pull.object << 16 | pull.part  # a copy is a copy of one part, and hashed as such
         self.cut_off = now + pull.left
         self.sending = pull.size_kb / pace if pace else 0.0
         self.quoted_by = now + min(workload.quoted + workload.stretch * self.sending, pull.left)
@@ -246,7 +247,7 @@
         pull = held.pull
         if not self._is_cacheable(held):
             return 0
-        key = pull.object << 16 | pull.part
+        key = held.wanted
         track = self.tracks.get(key)
         if track is None:
             held.track = self.tracks[key] = Track(self.now, pull.workload)
@@ -309,7 +310,7 @@
 
     def _ways(self, held: Held) -> Iterator[Way]:
         """Tell where the pull may go, best first."""
-        wanted = held.pull.object
+        wanted = held.wanted
         edges = sorted(self.edges, key=lambda edge: self._draw(wanted, edge), reverse=True)
         well = [edge for edge in edges if self._well(edge) and edge not in held.full]
         well = [edge for edge in well if not held.failures or edge.credit >= 1.0]
@@ -382,7 +383,7 @@
 
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
-        wanted = held.pull.object
+        wanted = held.wanted
         ordered: list[Server] = []
         if self._is_cacheable(held):
             for group in self.parents:
