A relay's own time-out in place of timers and recalls

Silence is told where a relay runs into its time-out and its cache has answered nothing since; that needs no walk over the pulls held, and works where recalls are not allowed.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from cometseam.interface import (
-    Action, Began, Effect, Ended, Error, Event, Group, HungUp, Lifecycle, Listed, ListKind, Members, Outcome,
+    Action, Effect, Ended, Error, Event, Group, HungUp, Lifecycle, Listed, ListKind, Members, Outcome,
     Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch, Workload,
 )  # fmt: skip
 
@@ -35,8 +35,7 @@
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
 FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
-LOOK, PATIENCE = 600.0, 4.0  # a relay's silence is looked at so many ms past so many times its expected time
-ASK = 1 << 60  # timer mark for asking for the list again; pulls' ids stay below it
+LATE, PATIENCE = 600.0, 4.0  # a relay times out so many ms past so many times its expected time
 NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
 SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE)
 WORD = (1 << 64) - 1
@@ -114,7 +113,7 @@
         self.sending = pull.size_kb / pace if pace else 0.0
         self.quoted_by = now + min(workload.quoted + workload.stretch * self.sending, pull.left)
         self.relays = self.failures = 0
-        self.out, self.open, self.streams = False, True, False
+        self.out, self.open = False, True
         self.full: list[Server] = []  # turned it away, or its fill
         self.lacks: Server | None = None  # the cache that answered a look with a miss
         self.known: list[tuple[Server, bool]] = []  # who holds no copy; True: not even an ageing one
@@ -123,7 +122,7 @@
         self.track: Track | None = None
         self.rank = 0  # at which the relay out is kept
         self.way: Way
-        self.sent_at = self.look_at = self.slowed = 0.0
+        self.sent_at = self.slowed = 0.0
         self.booked: list[float] = [0.0, 0.0]
         self.maybe: tuple[float, Listed, int] | None = None  # when, where, by which relay it may have run
         self.course: Course
@@ -174,14 +173,11 @@
             case Ended():
                 self._ended(event)
             case Rang():
-                self._rang(event.mark)
+                self.actions.append(Watch())  # the only timer is for asking for the list again
             case Members():
                 self._members(event)
             case HungUp():
                 self._hung_up(event.id)
-            case Began():
-                if event.id in self.held:
-                    self.held[event.id].streams = True
             case Purged():
                 self._purge(event)
         return self.actions
@@ -193,7 +189,7 @@
             self.actions.append(Watch())
         if event.kind is ListKind.FAILED:
             # A list service that is overrun must not be asked by all fronts at once again.
-            self.actions.append(Wake(ASK, 500.0 + 1000.0 * self.random.random()))
+            self.actions.append(Wake(0, 500.0 + 1000.0 * self.random.random()))
             return
         if event.kind is not ListKind.CHANGES:
             listed = {entry.cache for entry in event.entries}
@@ -433,7 +429,7 @@
             if void > self.now:
                 age = max(self.now - made, 0.001)
                 oldest = min(oldest or held.workload.fresh or age, age)
-        held.way, held.rank, held.out, held.streams, held.sent_at = way, rank, True, False, self.now
+        held.way, held.rank, held.out, held.sent_at = way, rank, True, self.now
         held.fills = source is not target and not held.joins
         for limit in self._limits(held):
             limit.out += 1
@@ -441,13 +437,15 @@
             target.credit -= 1.0
         held.maybe = held.maybe or (self.now, target.told, held.relays)
         held.relays += 1
+        slowing = self.fills if held.fills else target.load
+        held.slowed = max(slowing.out / slowing.size, 1.0)
+        time_out = left
+        if held.workload.effect is not Effect.ONCE_ONLY:
+            time_out = min(left, PATIENCE * held.sending * held.slowed + LATE)
         self.actions.append(
             Relay(pull.id, target.told.cache, source.told.cache, 0 if upper else rank, s.joins, way.only_held,
-                  False, False, left, oldest)
+                  False, False, time_out, oldest)
         )  # fmt: skip
-        slowing = self.fills if held.fills else target.load
-        held.slowed = slowing.out / slowing.size
-        self._look_later(held, PATIENCE * held.sending * max(1.0, held.slowed) + LOOK)
         return True
 
     def _limits(self, held: Held) -> list[Limit]:
@@ -547,7 +545,7 @@
             fresh = held.workload.fresh
             held.track.kept_at = (target, self.now + fresh if fresh else float("inf"))
         sent_in = event.took - event.waited if held.fills else event.took
-        at_pace = outcome is Outcome.OK and sent_in <= held.sending * max(1.0, held.slowed) + SLACK
+        at_pace = outcome is Outcome.OK and sent_in <= held.sending * held.slowed + SLACK
         if held.fills and remark is not Remark.HIT and not looked:
             if outcome in (Outcome.OK, Outcome.TIMEOUT):
                 # A slow transfer over a link that is not full is its source's fault: a parent that has gone
@@ -593,6 +591,13 @@
                 target.started = self.now
         elif outcome is Outcome.TIMEOUT:
             target.load.judge(False, self.now)
+            # Silence: a machine that has vanished or stands still resets nothing and answers nothing. A slow
+            # origin or a full link delays what comes from every source: only one that stays behind while
+            # another delivers is at fault. It harms where one long answer is all that a machine works on.
+            if target.answered < held.sent_at:
+                self._strike(target)
+            elif source.answered < held.sent_at and any(e.answered >= held.sent_at for e in self._sources(held)):
+                self._strike(source)
         elif outcome in (Outcome.MISS, Outcome.ERROR, Outcome.FULL):
             target.answered = self.now
             target.credit = min(target.credit + CREDIT, MOST_CREDIT)
@@ -614,35 +619,6 @@
         server.strikes += 1
         server.credit = min(server.credit, FIRST_CREDIT)
 
-    def _look_later(self, held: Held, after: float) -> None:
-        if self.settings.recalls:
-            held.look_at = self.now + after
-            self.actions.append(Wake(held.pull.id, after))
-
-    def _rang(self, mark: int) -> None:
-        if mark == ASK:
-            self.actions.append(Watch())
-            return
-        held = self.held.get(mark)
-        if held is None or not held.out or held.streams or self.now < held.look_at - 1.0:
-            return
-        target, source = held.way.target, held.way.source
-        silent = target
-        if target.answered >= held.sent_at:
-            # A slow origin or a full link delays what comes from every source: only one that stays behind
-            # while another delivers is at fault.
-            others = [other for other in self._sources(held) if other is not source]
-            if source.answered >= held.sent_at or all(other.answered < held.sent_at for other in others):
-                self._look_later(held, LOOK)
-                return
-            silent = source
-        # Silence: a machine that has vanished or stands still resets nothing and answers nothing. What waits
-        # on it goes elsewhere while there is time. It harms where one long answer is all that it works on.
-        self._strike(silent)
-        for other in self.held.values():
-            if other.out and not other.streams and silent in (other.way.target, other.way.source):
-                self.actions.append(Recall(other.pull.id, other.relays - 1))
-
     def _hung_up(self, pull: int) -> None:
         held = self.held.get(pull)
         if held is None:
@@ -651,5 +627,5 @@
         held.course.close()
         if not held.out:
             del self.held[pull]
-        elif self.settings.recalls and not held.streams:
+        elif self.settings.recalls:
             self.actions.append(Recall(pull, held.relays - 1))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -88,9 +88,11 @@
     drive.tell(i.HungUp(99))
     drive.pull(3, wanted=5)
     drive.end(3)  # the cache itself answers
-    drive.tell(i.Rang(1), after=800.0)  # both parents are late: nothing is done
+    drive.end(1, i.Outcome.TIMEOUT, i.Remark.NONE, after=800.0)  # both parents are late: neither is at fault
     drive.end(2, remark=i.Remark.FILLED)
-    drive.tell(i.Rang(1), after=700.0)  # the other has delivered since
+    drive.end(1, i.Outcome.TIMEOUT, i.Remark.NONE, after=700.0)  # the other has delivered since
+    drive.pull(4, wanted=5)
+    drive.lack(4)
     drive.check("silent_parent")
 
 
@@ -130,9 +132,8 @@
     drive = Drive()
     drive.pull(1)
     drive.pull(2)
-    drive.tell(i.Rang(1), after=800.0)
-    drive.end(1, i.Outcome.CANCELLED, i.Remark.NONE, after=1.0)
-    drive.end(2, i.Outcome.CANCELLED, i.Remark.NONE, after=1.0)
+    drive.end(1, i.Outcome.TIMEOUT, i.Remark.NONE, after=1000.0)
+    drive.end(2, i.Outcome.TIMEOUT, i.Remark.NONE, after=10.0)
     drive.check("silence")
 
 
