--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -102,15 +102,11 @@
     asks_for_list: bool
     sized: bool
     link_report: int
-    probes: bool
     recalls: bool
     tells_retry: bool
     longest_retry: float
     relay_limit: int
     joins: bool
-    bypass: bool
-    siblings: str
-    tells: str
     pace: float
     cold_from: float
     warm_after: float
@@ -119,7 +115,6 @@
     parent_cold_from: float
     parent_warm_after: float
     parent_fall_multiple: float
-    origin_fall_multiple: float
     purge_takes: float
 
 
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -176,10 +176,12 @@
                 self.actions.append(Watch())  # the only timer is for asking for the list again
             case Members():
                 self._members(event)
-            case HungUp():
-                self._hung_up(event.id)
+            case HungUp() if event.id in self.held:
+                self._hung_up(self.held[event.id])
             case Purged():
-                self._purge(event)
+                self.purged = {what: times for what, times in self.purged.items() if times[1] > now}
+                what = (event.object, -1) if event.object else (0, event.group)
+                self.purged[what] = (now - event.age, now + self.settings.purge_takes)
         return self.actions
 
     # The list of caches
@@ -231,11 +233,6 @@
             return max(s.fronts, 1)
         return max(s.fronts_by_zone[entry.zone], 1)
 
-    def _purge(self, event: Purged) -> None:
-        self.purged = {what: times for what, times in self.purged.items() if times[1] > self.now}
-        what = (event.object, -1) if event.object else (0, event.group)
-        self.purged[what] = (self.now - event.age, self.now + self.settings.purge_takes)
-
     # The value of an object, and the rank that it earns
 
     def _rank(self, held: Held) -> int:
@@ -326,10 +323,6 @@
         fit = room + [edge for edge in well if edge not in room and self._in_time(held, edge.load)]
         for edge in fit:
             yield from self._at(held, edge)
-        if (fit or not well) and self.settings.bypass and self.origin and self._in_time(held, self.fills):
-            for source in self._sources(held):
-                if not held.failures or source.credit >= 1.0:
-                    yield Way(source, self.origin)
         if not well and not held.failures:
             for edge in edges:  # nothing is well: better a try than none
                 yield from self._at(held, edge)
@@ -412,13 +405,12 @@
         # Drains are kept: only what the list has as ready is in the table.
         if any(self.servers.get(server.told.cache) is not server for server in (target, source)):
             return False
-        # Cold caches are not pushed over. Where no cache stands between, the pull itself reaches the parent.
-        upper = target.told.kind in (s.parent_kind, s.origin_kind)
+        # Cold caches are not pushed over.
         mean = self.mean_sending[pull.workload]
         work = max(mean, held.sending)
         if not self._fits(target, work) or (source is not target and not self._fits(source, work)):
             return False
-        target.spent.append([self.now, work if upper else mean])
+        target.spent.append([self.now, mean])
         held.booked = [self.now, work]
         if source is not target:
             source.spent.append(held.booked)
@@ -443,7 +435,7 @@
         if held.workload.effect is not Effect.ONCE_ONLY:
             time_out = min(left, PATIENCE * held.sending * held.slowed + LATE)
         self.actions.append(
-            Relay(pull.id, target.told.cache, source.told.cache, 0 if upper else rank, s.joins, way.only_held,
+            Relay(pull.id, target.told.cache, source.told.cache, rank, s.joins, way.only_held,
                   False, False, time_out, oldest)
         )  # fmt: skip
         return True
@@ -552,7 +544,8 @@
                 # grey answers at once and sends slowly. Where fullness is not told, both are blamed.
                 source.load.judge(at_pace, self.now)
                 pace = max(sent_in - SLACK, 0.0) / held.sending if held.sending else 0.0
-                for limit, blamed in ((source.load, pace > self.link_full), (self.fills, pace <= self.link_full)):
+                by_source = pace > self.link_full
+                for limit, blamed in ((source.load, by_source), (self.fills, not by_source)):
                     if blamed or pace < limit.crowded(self.now):
                         limit.see(pace, self.now)
                 if at_pace or self.link_full > 1.0:
@@ -596,7 +589,7 @@
             # another delivers is at fault. It harms where one long answer is all that a machine works on.
             if target.answered < held.sent_at:
                 self._strike(target)
-            elif source.answered < held.sent_at and any(e.answered >= held.sent_at for e in self._sources(held)):
+            elif max(e.answered for e in [*self._sources(held), source]) >= held.sent_at > source.answered:
                 self._strike(source)
         elif outcome in (Outcome.MISS, Outcome.ERROR, Outcome.FULL):
             target.answered = self.now
@@ -619,13 +612,10 @@
         server.strikes += 1
         server.credit = min(server.credit, FIRST_CREDIT)
 
-    def _hung_up(self, pull: int) -> None:
-        held = self.held.get(pull)
-        if held is None:
-            return
+    def _hung_up(self, held: Held) -> None:
         held.open = False
         held.course.close()
         if not held.out:
-            del self.held[pull]
+            del self.held[held.pull.id]
         elif self.settings.recalls:
-            self.actions.append(Recall(pull, held.relays - 1))
+            self.actions.append(Recall(held.pull.id, held.relays - 1))
--- a/cometseam/wire/settings.py
+++ b/cometseam/wire/settings.py
@@ -31,15 +31,11 @@
         asks_for_list=info["discovery"] == "ask",
         sized=info["weights"] in ("nominal", "rough"),
         link_report=[*info["report"]["names"], "x1"].index("x1"),
-        probes=bool(ceilings["probing"]),
         recalls=bool(ceilings["cancel"]),
         tells_retry=bool(ceilings["retryAfter"]),
         longest_retry=float(ceilings["maxRetryAfter"]),
         relay_limit=int(ceilings["tryLimit"]),
         joins=bool(family.get("joins", False)),
-        bypass=bool(family.get("bypassAllowed", False)),
-        siblings=str(family.get("siblings", "none")),
-        tells=str(family.get("says", "none")),
         pace=float(family.get("streamKbPerS", 0.0)) / 1000.0,
         cold_from=float(safety["coldFrom"]),
         warm_after=float(safety["warmAfter"]),
@@ -48,7 +44,6 @@
         parent_cold_from=float(family.get("upperColdFrom", 1.0)),
         parent_warm_after=float(family.get("parentWarmsIn", 0.0)),
         parent_fall_multiple=float(family.get("parentLimitFactor", 1.0)),
-        origin_fall_multiple=float(family.get("originLimitFactor", 0.0)),
         purge_takes=float(family.get("purgeTakes", 0.0)),
     )
 
