--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -367,7 +367,7 @@
     def _in_time(self, held: Held, limit: Limit) -> bool:
         """Tell whether it can be in the quoted time, or late at a place that is not busy."""
         # Gain goes by the pull and room by the byte: the more a pull is larger than most, the less crowd it bears.
-        large = max(held.sending / max(self.mean_sending[held.pull.workload], 1.0), 1.0)
+        large = max(held.sending / max(self.mean_sending[held.pull.workload], 1.0), 1.0) ** 0.5
         taking = held.sending * (1.0 + (limit.stretch(self.now) - 1.0) * large)
         idle = limit.out + 1 <= IDLE * limit.size and limit.crowded(self.now) <= 1.0 + IDLE
         return taking <= CERTAIN * ((held.cut_off if idle else held.quoted_by) - self.now)
