--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -28,7 +28,7 @@
 COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.55  # share of the quoted time that a pull may take at a cache before it spills to the next
 CERTAIN = 0.65  # share of the quoted time that a pull may be expected to take and still be begun
-CROWD_LASTS = 10000.0  # ms in which what was seen of a crowd wears off to a third
+CROWD_LASTS = 3000.0  # ms, by the root of a zone's fronts, in which what was seen of a crowd wears off to a third
 IDLE = 0.5  # share of a limit up to which a pull may go on past its quoted time
 SPARE = 0.1  # share of the kept copies found gone up to which a cache has room to spare
 STRAIN = 3.0  # times the usual wait for the origin that show that it is asked for too much
@@ -52,8 +52,8 @@
 class Limit:
     """How many may be out at once; it grows by one where a round went well and is cut by a share."""
 
-    def __init__(self, size: float) -> None:
-        self.size = max(size, LEAST_LIMIT)
+    def __init__(self, size: float, lasts: float) -> None:
+        self.size, self.lasts = max(size, LEAST_LIMIT), lasts
         self.most = 4.0 * self.size
         self.out, self.cut_at = 0, 0.0
         self.crowd, self.crowd_at = 1.0, 0.0  # times its own time that a transfer took of late, and when
@@ -69,7 +69,7 @@
 
     def crowded(self, now: float) -> float:
         """Tell how many times its own time a transfer is expected to take; what was seen wears off."""
-        return 1.0 + (self.crowd - 1.0) * exp((self.crowd_at - now) / CROWD_LASTS)
+        return 1.0 + (self.crowd - 1.0) * exp((self.crowd_at - now) / self.lasts)
 
     def stretch(self, now: float) -> float:
         """Tell how many times its own time one more would take."""
@@ -84,9 +84,9 @@
 class Server:
     """One start of a cache, a parent or the origin, as this front knows it."""
 
-    def __init__(self, told: Listed, weight: float, limit: float) -> None:
+    def __init__(self, told: Listed, weight: float, limit: Limit) -> None:
         self.told, self.weight, self.started = told, weight, told.ready_at
-        self.load = Limit(limit)
+        self.load = limit
         self.credit = FIRST_CREDIT
         self.answered = self.sick_until = 0.0
         self.loss = 0.0  # share of what it kept that looks find gone, lately
@@ -145,9 +145,11 @@
 
     def __init__(self, seed: int, settings: Settings) -> None:
         self.settings = settings
+        here = settings.fronts_by_zone[settings.zone : settings.zone + 1] or (settings.fronts,)
+        self.lasts = CROWD_LASTS * max(here[0], 1) ** 0.5
         self.random = Random(seed)
         self.now = 0.0
-        self.fills = self.fetches = Limit(0.0)  # through the zone's link; by way of the origin; set by a list
+        self.fills = self.fetches = Limit(0.0, 0.0)  # through the zone's link; by way of the origin; set by a list
         self.actions: list[Action] = []
         self.held: dict[int, Held] = {}  # a pull leaves when it is answered and none of its relays is out
         self.servers: dict[int, Server] = {}  # as the list has them; what is gone or draining leaves
@@ -209,7 +211,7 @@
         self.edges = [e for e in by_id if e.told.zone == s.zone and e.told.kind not in upper]
         if self.fills is self.fetches:
             pooled = sum(edge.load.size for edge in self.edges)
-            self.fills, self.fetches = Limit(FILL_PART * pooled), Limit(4.0 * pooled)
+            self.fills, self.fetches = Limit(FILL_PART * pooled, self.lasts), Limit(4.0 * pooled, self.lasts)
 
     def _listed(self, entry: Listed) -> None:
         known = self.servers.pop(entry.cache, None)
@@ -221,7 +223,7 @@
             self.servers[entry.cache] = known
             return
         limit = weight if self.settings.sized else UNSIZED_LIMIT
-        fresh = Server(entry, weight, limit / self._sharing(entry))
+        fresh = Server(entry, weight, Limit(limit / self._sharing(entry), self.lasts))
         if known:  # what reached a restarted cache before its start was told counts against its budget
             fresh.spent = known.spent
         self.servers[entry.cache] = fresh
