--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -28,7 +28,7 @@
 COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.55  # share of the quoted time that a pull may take at a cache before it spills to the next
 CERTAIN = 0.65  # share of the quoted time that a pull may be expected to take and still be begun
-CROWD_LASTS = 3000.0  # ms, by the root of a zone's fronts, in which what was seen of a crowd wears off to a third
+CROWD_LASTS = 3000.0  # ms, by the root of a zone's fronts, in which what was seen wears off to a third
 IDLE = 0.5  # share of a limit up to which a pull may go on past its quoted time
 SPARE = 0.1  # share of the kept copies found gone up to which a cache has room to spare
 STRAIN = 3.0  # times the usual wait for the origin that show that it is asked for too much
@@ -54,8 +54,7 @@
 
     def __init__(self, size: float, lasts: float) -> None:
         self.size, self.lasts = max(size, LEAST_LIMIT), lasts
-        self.most = 4.0 * self.size
-        self.out, self.cut_at = 0, 0.0
+        self.most, self.out, self.cut_at = 4.0 * self.size, 0, 0.0
         self.crowd, self.crowd_at = 1.0, 0.0  # times its own time that a transfer took of late, and when
 
     def judge(self, well: bool, now: float, proven: bool = False) -> None:
@@ -145,11 +144,12 @@
 
     def __init__(self, seed: int, settings: Settings) -> None:
         self.settings = settings
-        here = settings.fronts_by_zone[settings.zone : settings.zone + 1] or (settings.fronts,)
-        self.lasts = CROWD_LASTS * max(here[0], 1) ** 0.5
+        by_zone, zone = settings.fronts_by_zone, settings.zone
+        self.here = max(by_zone[zone] if 0 <= zone < len(by_zone) else settings.fronts, 1)  # fronts here
+        self.lasts: float = CROWD_LASTS * self.here**0.5
         self.random = Random(seed)
         self.now = 0.0
-        self.fills = self.fetches = Limit(0.0, 0.0)  # through the zone's link; by way of the origin; set by a list
+        self.fills = self.fetches = Limit(0.0, 0.0)  # through the zone's link; from the origin; set by a list
         self.actions: list[Action] = []
         self.held: dict[int, Held] = {}  # a pull leaves when it is answered and none of its relays is out
         self.servers: dict[int, Server] = {}  # as the list has them; what is gone or draining leaves
@@ -179,7 +179,13 @@
             case Members():
                 self._members(event)
             case HungUp() if event.id in self.held:
-                self._hung_up(self.held[event.id])
+                held = self.held[event.id]
+                held.open = False
+                held.course.close()
+                if not held.out:
+                    del self.held[event.id]
+                elif self.settings.recalls:
+                    self.actions.append(Recall(event.id, held.relays - 1))
             case Purged():
                 self.purged = {what: times for what, times in self.purged.items() if times[1] > now}
                 what = (event.object, -1) if event.object else (0, event.group)
@@ -231,9 +237,8 @@
     def _sharing(self, entry: Listed) -> int:
         """Tell how many fronts send to it."""
         s = self.settings
-        if entry.kind in (s.parent_kind, s.origin_kind) or entry.zone >= len(s.fronts_by_zone):
-            return max(s.fronts, 1)
-        return max(s.fronts_by_zone[entry.zone], 1)
+        here = entry.zone == s.zone and entry.kind not in (s.parent_kind, s.origin_kind)
+        return self.here if here else max(s.fronts, 1)
 
     # The value of an object, and the rank that it earns
 
@@ -368,9 +373,9 @@
 
     def _in_time(self, held: Held, limit: Limit) -> bool:
         """Tell whether it can be in the quoted time, or late at a place that is not busy."""
-        # Gain goes by the pull and room by the byte: the more a pull is larger than most, the less crowd it bears.
+        # Gain goes by the pull and room by the byte: a pull larger than the mean bears less crowd.
         large = max(held.sending / max(self.mean_sending[held.pull.workload], 1.0), 1.0) ** 0.5
-        taking = held.sending * (1.0 + (limit.stretch(self.now) - 1.0) * large)
+        taking: float = held.sending * (1.0 + (limit.stretch(self.now) - 1.0) * large)
         idle = limit.out + 1 <= IDLE * limit.size and limit.crowded(self.now) <= 1.0 + IDLE
         return taking <= CERTAIN * ((held.cut_off if idle else held.quoted_by) - self.now)
 
@@ -615,11 +620,3 @@
         server.sick_until = self.now + rest * (1.0 + 0.25 * self.random.random())
         server.strikes += 1
         server.credit = min(server.credit, FIRST_CREDIT)
-
-    def _hung_up(self, held: Held) -> None:
-        held.open = False
-        held.course.close()
-        if not held.out:
-            del self.held[held.pull.id]
-        elif self.settings.recalls:
-            self.actions.append(Recall(held.pull.id, held.relays - 1))
