Count cold budgets as the rule does: a cache's asks at the mean, a parent's at their size

Large pulls were barred from cold caches whose budget counts each ask alike, and small fills counted as mean ones at cold parents.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -416,8 +416,8 @@
             return False
         # Cold caches are not pushed over.
         mean = self.mean_sending[pull.workload]
-        work = max(mean, held.sending)
-        if not self._fits(target, work) or (source is not target and not self._fits(source, work)):
+        work = held.sending or mean  # a cache counts each ask at its workload's mean, a parent at its size
+        if not self._fits(target, mean) or (source is not target and not self._fits(source, work)):
             return False
         target.spent.append([self.now, mean])
         held.booked = [self.now, work]
