--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -29,6 +29,7 @@
 SPILL = 0.55  # share of the quoted time that a pull may take at a cache before it spills to the next
 CERTAIN = 0.65  # share of the quoted time that a pull may be expected to take and still be begun
 CROWD_LASTS = 3000.0  # ms, by the root of a zone's fronts, in which what was seen wears off to a third
+UNSURE = 0.6  # margin on a crowd, of what it adds, that very many fronts make needed
 IDLE = 0.5  # share of a limit up to which a pull may go on past its quoted time
 SPARE = 0.1  # share of the kept copies found gone up to which a cache has room to spare
 STRAIN = 3.0  # times the usual wait for the origin that show that it is asked for too much
@@ -373,9 +374,11 @@
 
     def _in_time(self, held: Held, limit: Limit) -> bool:
         """Tell whether it can be in the quoted time, or late at a place that is not busy."""
-        # Gain goes by the pull and room by the byte: a pull larger than the mean bears less crowd.
+        # Gain goes by the pull and room by the byte: a pull larger than the mean bears less crowd. The more
+        # fronts, the fewer answers each sees: what it knows of a crowd gets a margin.
         large = max(held.sending / max(self.mean_sending[held.pull.workload], 1.0), 1.0) ** 0.5
-        taking: float = held.sending * (1.0 + (limit.stretch(self.now) - 1.0) * large)
+        unsure = 1.0 + UNSURE * (1.0 - 1.0 / self.here)
+        taking: float = held.sending * (1.0 + (limit.stretch(self.now) - 1.0) * large * unsure)
         idle = limit.out + 1 <= IDLE * limit.size and limit.crowded(self.now) <= 1.0 + IDLE
         return taking <= CERTAIN * ((held.cut_off if idle else held.quoted_by) - self.now)
 
