--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -388,7 +388,7 @@
         ordered: list[Server] = []
         if self._is_cacheable(held):
             for group in self.parents:
-                ordered += sorted(group, key=lambda parent: mix(wanted, parent.told.cache), reverse=True)
+                ordered += sorted(group, key=lambda parent: self._draw(wanted, parent), reverse=True)
         if self.origin:
             ordered.append(self.origin)
         return sorted(ordered, key=lambda e: 2 * (not self._well(e)) + (not self._in_time(held, e.load)))
