--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -356,8 +356,8 @@
         if link_has_room and not held.spurned:
             # In the same way a slow origin, asked for more than it can do, is in time for nobody: past a
             # limit of its own a parent gives only what it holds.
-            wait = self.usual_wait * self.fetches.crowded(self.now)
-            soon = self.now + wait + held.sending <= held.quoted_by
+            taking = (self.usual_wait + held.sending) * self.fetches.crowded(self.now)
+            soon = self.now + taking <= held.quoted_by
             if (soon and self.fetches.out + 1 <= self.fetches.size) or not self._is_cacheable(held):
                 for source in sources:
                     # With many fronts a source's link is full long before a front's own limit tells.
@@ -548,6 +548,7 @@
         if held.track and outcome is Outcome.OK and held.rank:
             fresh = held.workload.fresh
             held.track.kept_at = (target, self.now + fresh if fresh else float("inf"))
+        fetched = remark is Remark.FILLED_FROM_ORIGIN
         sent_in = event.took - event.waited if held.fills else event.took
         at_pace = outcome is Outcome.OK and sent_in <= held.sending * held.slowed + SLACK
         if held.fills and remark is not Remark.HIT and not looked:
@@ -556,20 +557,22 @@
                 # grey answers at once and sends slowly. Where fullness is not told, both are blamed.
                 source.load.judge(at_pace, self.now)
                 pace = max(sent_in - SLACK, 0.0) / held.sending if held.sending else 0.0
-                by_source = pace > self.link_full
-                for limit, blamed in ((source.load, by_source), (self.fills, not by_source)):
-                    if blamed or pace < limit.crowded(self.now):
+                # Where a fetched copy comes slower than the parent's crowd explains, it is the origin's link.
+                beyond = self.fetches if fetched and pace > source.load.crowded(self.now) else source.load
+                slow = beyond if pace > self.link_full else self.fills
+                for limit in (self.fills, source.load):
+                    if limit is slow or pace < limit.crowded(self.now):
                         limit.see(pace, self.now)
+                if fetched:
+                    self.fetches.see(max(event.waited / self.usual_wait, pace * (slow is self.fetches)), self.now)
                 if at_pace or self.link_full > 1.0:
                     self.fills.judge(at_pace, self.now)
             if remark is Remark.ORIGIN_FAILED:
                 # Each failure doubles the wait expected: with many fronts, none has two out to learn from.
                 self.fetches.see(3.0 * self.fetches.crowded(self.now), self.now)
-            elif remark is Remark.FILLED_FROM_ORIGIN:
-                self.fetches.see(event.waited / self.usual_wait, self.now)
             if remark is Remark.ORIGIN_FAILED or event.waited > STRAIN * self.usual_wait + SLACK:
                 self.fetches.judge(False, self.now, proven=True)
-            elif remark is Remark.FILLED_FROM_ORIGIN:
+            elif fetched:
                 self.fetches.judge(True, self.now)
                 self.usual_wait += 0.05 * (event.waited - self.usual_wait)
         if outcome is Outcome.OK:
