--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -248,16 +248,15 @@
         pull = held.pull
         if not self._is_cacheable(held):
             return 0
-        key = held.wanted
-        track = self.tracks.get(key)
+        track = self.tracks.get(held.wanted)
         if track is None:
-            held.track = self.tracks[key] = Track(self.now, pull.workload)
+            held.track = self.tracks[held.wanted] = Track(self.now, pull.workload)
             self.tracked[pull.workload] += 1
             if len(self.tracks) > TRACKED:
                 self.tracked[self.tracks.popitem(last=False)[1].workload] -= 1
             return 0
         held.track = track
-        self.tracks.move_to_end(key)
+        self.tracks.move_to_end(held.wanted)
         track.gaps.append(max(self.now - track.last, GAP_FLOOR))
         track.last = self.now
         size = max(pull.size_kb * 1024.0, 3.0)
@@ -311,8 +310,7 @@
 
     def _ways(self, held: Held) -> Iterator[Way]:
         """Tell where the pull may go, best first."""
-        wanted = held.wanted
-        edges = sorted(self.edges, key=lambda edge: self._draw(wanted, edge), reverse=True)
+        edges = sorted(self.edges, key=lambda edge: self._draw(held.wanted, edge), reverse=True)
         well = [edge for edge in edges if self._well(edge) and edge not in held.full]
         well = [edge for edge in well if not held.failures or edge.credit >= 1.0]
         if held.lacks in well:
@@ -357,8 +355,7 @@
             # In the same way a slow origin, asked for more than it can do, is in time for nobody: past a
             # limit of its own a parent gives only what it holds.
             taking = (self.usual_wait + held.sending) * self.fetches.crowded(self.now)
-            soon = self.now + taking <= held.quoted_by
-            if (soon and self.fetches.out + 1 <= self.fetches.size) or not self._is_cacheable(held):
+            if (taking <= held.quoted_by - self.now and self.fetches.out + 1 <= self.fetches.size) or not self._is_cacheable(held):
                 for source in sources:
                     # With many fronts a source's link is full long before a front's own limit tells.
                     if self._in_time(held, source.load):
@@ -384,11 +381,10 @@
 
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
-        wanted = held.wanted
         ordered: list[Server] = []
         if self._is_cacheable(held):
             for group in self.parents:
-                ordered += sorted(group, key=lambda parent: self._draw(wanted, parent), reverse=True)
+                ordered += sorted(group, key=lambda parent: self._draw(held.wanted, parent), reverse=True)
         if self.origin:
             ordered.append(self.origin)
         return sorted(ordered, key=lambda e: 2 * (not self._well(e)) + (not self._in_time(held, e.load)))
@@ -557,14 +553,15 @@
                 # grey answers at once and sends slowly. Where fullness is not told, both are blamed.
                 source.load.judge(at_pace, self.now)
                 pace = max(sent_in - SLACK, 0.0) / held.sending if held.sending else 0.0
-                # Where a fetched copy comes slower than the parent's crowd explains, it is the origin's link.
-                beyond = self.fetches if fetched and pace > source.load.crowded(self.now) else source.load
+                # Where a fetched copy comes far slower than the parent's crowd explains, it is the origin's link.
+                beyond = self.fetches if fetched and pace > 2.0 * source.load.crowded(self.now) else source.load
                 slow = beyond if pace > self.link_full else self.fills
                 for limit in (self.fills, source.load):
                     if limit is slow or pace < limit.crowded(self.now):
                         limit.see(pace, self.now)
                 if fetched:
-                    self.fetches.see(max(event.waited / self.usual_wait, pace * (slow is self.fetches)), self.now)
+                    strain = max(event.waited / self.usual_wait, pace if slow is self.fetches else 0.0)
+                    self.fetches.see(strain, self.now)
                 if at_pace or self.link_full > 1.0:
                     self.fills.judge(at_pace, self.now)
             if remark is Remark.ORIGIN_FAILED:
