--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -355,15 +355,14 @@
             # In the same way a slow origin, asked for more than it can do, is in time for nobody: past a
             # limit of its own a parent gives only what it holds.
             taking = (self.usual_wait + held.sending) * self.fetches.crowded(self.now)
-            if (taking <= held.quoted_by - self.now and self.fetches.out + 1 <= self.fetches.size) or not self._is_cacheable(held):
-                for source in sources:
-                    # With many fronts a source's link is full long before a front's own limit tells.
-                    if self._in_time(held, source.load):
-                        yield Way(edge, source)
-            else:
-                for source in sources:
-                    if source is not self.origin and (source, False) not in held.known:
-                        yield Way(edge, source, only_held=True)
+            soon = taking <= held.quoted_by - self.now and self.fetches.out + 1 <= self.fetches.size
+            soon = soon or not self._is_cacheable(held)
+            for source in sources:
+                # With many fronts a source's link is full long before a front's own limit tells.
+                if soon and self._in_time(held, source.load):
+                    yield Way(edge, source)
+                elif not soon and source is not self.origin and (source, False) not in held.known:
+                    yield Way(edge, source, only_held=True)
         yield from ageing
 
     def _is_cacheable(self, held: Held) -> bool:
@@ -553,9 +552,9 @@
                 # grey answers at once and sends slowly. Where fullness is not told, both are blamed.
                 source.load.judge(at_pace, self.now)
                 pace = max(sent_in - SLACK, 0.0) / held.sending if held.sending else 0.0
-                # Where a fetched copy comes far slower than the parent's crowd explains, it is the origin's link.
-                beyond = self.fetches if fetched and pace > 2.0 * source.load.crowded(self.now) else source.load
-                slow = beyond if pace > self.link_full else self.fills
+                # A fetched copy far slower than the parent's crowd explains is slow by the origin's link.
+                by_origin = fetched and pace > 2.0 * source.load.crowded(self.now)
+                slow = self.fills if pace <= self.link_full else self.fetches if by_origin else source.load
                 for limit in (self.fills, source.load):
                     if limit is slow or pace < limit.crowded(self.now):
                         limit.see(pace, self.now)
