--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -66,7 +66,6 @@
             self.cut_at = now
             self.size = max(CUT * (min(self.size, self.out + 1.0) if proven else self.size), LEAST_LIMIT)
 
-
     def crowded(self, now: float) -> float:
         """Tell how many times its own time a transfer is expected to take; what was seen wears off."""
         return 1.0 + (self.crowd - 1.0) * exp((self.crowd_at - now) / self.lasts)
@@ -77,8 +76,7 @@
 
     def see(self, seen: float, now: float) -> None:
         """Take in how many times its own time a transfer took."""
-        self.crowd = self.crowded(now) + 0.5 * (max(seen, 1.0) - self.crowded(now))
-        self.crowd_at = now
+        self.crowd, self.crowd_at = 0.5 * (self.crowded(now) + max(seen, 1.0)), now
 
 
 class Server:
@@ -86,8 +84,7 @@
 
     def __init__(self, told: Listed, weight: float, limit: Limit) -> None:
         self.told, self.weight, self.started = told, weight, told.ready_at
-        self.load = limit
-        self.credit = FIRST_CREDIT
+        self.load, self.credit = limit, FIRST_CREDIT
         self.answered = self.sick_until = 0.0
         self.loss = 0.0  # share of what it kept that looks find gone, lately
         self.strikes = 0
