--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -222,3 +222,35 @@
     for part in range(4):
         drive.pull(part, part=part)
     drive.check("parts")
+
+
+def test_parents_are_drawn_by_the_weight_of_their_links() -> None:
+    drive = Drive()
+    drive.tell(i.Members(i.ListKind.CHANGES, (replace(line(21), weight=72.0),)))
+    for number in range(1, 9):
+        drive.pull(number, wanted=number)
+        drive.lack(number)
+    drive.trace = [text for text in drive.trace if " from 2" in text]
+    drive.check("weights")
+
+
+def test_a_slow_fetch_behind_a_quick_parent_is_the_origins() -> None:
+    drive = Drive()
+    drive.front.link_full = 0.3
+    drive.pull(1, wanted=1)
+    drive.lack(1)
+    drive.end(1, remark=i.Remark.FILLED_FROM_ORIGIN, after=1500.0)
+    for number, wanted in ((2, 1), (3, 2)):  # what parents hold is asked for still
+        drive.pull(number, wanted=wanted)
+        drive.lack(number)
+    drive.trace.append(f"crowd of the parent {drive.front.servers[22].load.crowded(drive.now):.1f}")
+    drive.check("origins_link")
+
+
+def test_with_more_fronts_a_pull_bears_less_of_a_crowd() -> None:
+    for name, fronts in (("few", 1), ("many", 16)):
+        drive = Drive(replace(SETTINGS, fronts_by_zone=(0, fronts, 1)), caches=(11, *PARENTS, ORIGIN))
+        drive.front.edges[0].load.see(5.0, drive.now)
+        drive.front.edges[0].load.size = 100.0
+        drive.pull(1)
+        drive.check(f"margin_{name}")
