--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -254,3 +254,16 @@
         drive.front.edges[0].load.size = 100.0
         drive.pull(1)
         drive.check(f"margin_{name}")
+
+
+def test_odd_lists_and_counts_are_answered() -> None:
+    for fronts, by_zone, zone in ((0, (0, 0, 0), 1), (0, (), 7), (3, (1,), 5)):
+        settings = replace(SETTINGS, fronts=fronts, fronts_by_zone=by_zone, zone=zone, hub_of=())
+        drive, cold = Drive(settings, caches=()), line(11, ready_at=1000.0)
+        odd = [replace(cold, cache=100 + n, zone=n % 900, kind=n % 70) for n in range(3000)]
+        drive.tell(i.Members(i.ListKind.FULL, (*odd, *odd, replace(cold, zone=zone))))
+        for number in range(1, 4):
+            drive.pull(number)
+        drive.tell(i.Members(i.ListKind.FULL, ()))
+        drive.pull(9)
+        drive.check(f"odd_{fronts}_{zone}")
