--- /dev/null
+++ b/cometseam/__main__.py
@@ -0,0 +1,26 @@
+"""Starts the front."""
+
+import sys
+
+import anyio
+
+from cometseam.config import read_config
+from cometseam.counters import set_up_log
+from cometseam.program import run
+from cometseam.reading import Faulty
+
+
+def main() -> int:
+    """Run until SIGTERM; a configuration that can't be used ends it with one line and status 2."""
+    set_up_log()
+    try:
+        config = read_config()
+    except Faulty as error:
+        print(f"cometseam: configuration: {error}", file=sys.stderr)
+        return 2
+    anyio.run(run, config)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cometseam/config.py
@@ -0,0 +1,74 @@
+"""The one place where the configuration is read, checked and given defaults."""
+
+import json
+import os
+from dataclasses import dataclass
+
+from cometseam.interface import Settings
+from cometseam.protocol.changelog import Change, read_address, read_changes
+from cometseam.reading import Faulty, Section
+from cometseam.settings import Links, Names, read_links, read_names, read_settings
+
+VARIABLE = "ROUTER_CONFIG"
+CLIENTS_PART = 3  # clients hold a third of the descriptors at most, and peers may have another third
+POOL_PART = 3  # of the memory goes to buffers
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What the program is told."""
+
+    name: str
+    listen: tuple[str, int]
+    seed: int
+    memory: int  # bytes for buffers
+    clients: int  # connections of clients at most
+    peers: int  # connections to peers at most
+    changelog: tuple[str, int]
+    last: int
+    known: tuple[Change, ...]
+    settings: Settings
+    names: Names
+    links: Links
+
+
+def read_config() -> Config:
+    """Read the file that the environment names; what is wrong is `Faulty`, and its text names the key."""
+    path = os.environ.get(VARIABLE, "")
+    if not path:
+        raise Faulty(f"{VARIABLE}: not set; it names the configuration's file")
+    try:
+        with open(path, "rb") as file:
+            raw = json.loads(file.read())
+    except OSError as error:
+        raise Faulty(f"{VARIABLE}: {path}: {error.strerror}") from error
+    except (ValueError, RecursionError) as error:
+        raise Faulty(f"{VARIABLE}: {path}: not JSON: {error}") from error
+    return decode(Section(raw))
+
+
+def decode(top: Section) -> Config:
+    """Check and decode the configuration."""
+    limits, known, settings = top.section("limits"), top.section("known"), top.section("settings")
+    seed = top.text("seed")
+    try:
+        seed_number = int(seed, 16)
+    except ValueError:
+        raise Faulty(f"seed: hex digits were expected, not {seed[:40]!r}") from None
+    sockets = limits.whole("sockets", 1024, low=32)
+    memory = limits.number("memory_mb", 192.0, low=64) * (1 << 20)
+    changes = read_changes(known)
+    return Config(
+        name=top.text("name"),
+        listen=read_address(top, "listen"),
+        seed=seed_number,
+        memory=int(memory / POOL_PART),
+        clients=sockets // CLIENTS_PART,
+        peers=sockets // CLIENTS_PART,
+        changelog=read_address(top, "changelog"),
+        last=known.whole("seq", low=0),
+        known=tuple(changes),
+        settings=read_settings(settings),
+        names=read_names(settings),
+        links=read_links(settings),
+    )
--- /dev/null
+++ b/cometseam/counters.py
@@ -0,0 +1,58 @@
+"""Counts what the front takes in, sends and answers, and what must hold but did not."""
+
+import os
+import resource
+import sys
+from collections import Counter
+
+from loguru import logger
+
+
+class Counters:
+    """Counts by name, and the most that some figures came to."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.most: dict[str, float] = {}
+
+    def add(self, name: str, by: int = 1) -> None:
+        """Count one more."""
+        self.counts[name] += by
+
+    def see(self, name: str, value: float) -> None:
+        """Keep the largest value seen."""
+        if value > self.most.get(name, -1.0):
+            self.most[name] = value
+
+    def sample(self) -> None:
+        """Look at what the process takes."""
+        self.see("memory_mb", resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0)
+        self.see("descriptors", len(os.listdir("/proc/self/fd")))
+
+    def print(self, why: str) -> None:
+        """Write all of them to the log."""
+        self.sample()
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.most["cpu_s"] = usage.ru_utime + usage.ru_stime
+        lines = [f"{name}={count}" for name, count in sorted(self.counts.items())]
+        lines += [f"{name}={value:.1f}" for name, value in sorted(self.most.items())]
+        logger.info("counters ({}): {}", why, " ".join(lines))
+
+
+COUNTERS = Counters()
+
+
+def invariant(holds: bool, name: str) -> None:
+    """Assert what must hold in a debug build; count it where it does not in a release build (`python -O`)."""
+    if holds:
+        return
+    if __debug__:
+        raise AssertionError(name)
+    COUNTERS.add(f"invariant_broken.{name}")
+
+
+def set_up_log() -> None:
+    """Log to standard error, one line an entry."""
+    logger.remove()
+    logger.add(sys.stderr, level=os.environ.get("COMETSEAM_LOG", "INFO"), backtrace=False, diagnose=False,
+               format="{time:HH:mm:ss.SSS} {level} {message}")  # fmt: skip
--- /dev/null
+++ b/cometseam/protocol/frames.py
@@ -0,0 +1,194 @@
+"""Frames between clients and the front."""
+
+import struct
+from dataclasses import dataclass
+from enum import IntEnum
+
+from cometseam.protocol import Body, Malformed, Room
+
+HEAD = struct.Struct(">IBI")
+COUNTED = 5  # bytes of the head that a frame's length counts
+MOST = 262144
+
+
+class Type(IntEnum):
+    """What a frame is."""
+
+    REQUEST = 16
+    ANSWER = 17
+    HANG_UP = 18
+    READY = 32
+    READINESS = 33
+    NO_MORE = 48
+
+
+class Code(IntEnum):
+    """What an answer tells."""
+
+    SERVED = 1
+    REFUSED = 2
+    FAILED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One frame; its payload lies in `room`, or is small and came in one piece."""
+
+    type: int
+    stream: int
+    payload: bytes = b""
+    room: Body | None = None
+
+    def split(self) -> tuple[dict[str, str], int]:
+        """Read the fields, and tell where the body begins."""
+        return read_fields(self.payload if self.room is None else b"".join(self.room.views()))
+
+    def free(self) -> None:
+        """Give back what the payload took."""
+        if self.room is not None:
+            self.room.free()
+
+
+class Decoder:
+    """Takes a stream apart into frames."""
+
+    def __init__(self, room: Room) -> None:
+        self._room = room
+        self._head = bytearray()
+        self._body: Body | None = None
+
+    def feed(self, data: memoryview, out: list[Frame]) -> int:
+        """Append the frames that end in `data`; tell how much of it was taken in: less where room lacks."""
+        at = 0
+        while at < len(data):
+            missing = HEAD.size - len(self._head)
+            if missing:
+                self._head += data[at : at + missing]
+                at += min(missing, len(data) - at)
+                if len(self._head) < HEAD.size:
+                    break
+            length, kind, stream = HEAD.unpack(self._head)
+            if not COUNTED <= length <= MOST:
+                raise Malformed(f"a frame of {length} bytes")
+            size = length - COUNTED
+            if self._body is None:
+                if size <= len(data) - at:
+                    out.append(Frame(kind, stream, bytes(data[at : at + size])))
+                    at += size
+                    self._head.clear()
+                    continue
+                self._body = self._room(size)
+                if self._body is None:
+                    break
+            at += self._body.write(data[at:])
+            if self._body.is_whole():
+                out.append(Frame(kind, stream, b"", self._body))
+                self._head.clear()
+                self._body = None
+        return at
+
+    def close(self) -> None:
+        """Give back what a half-read frame took."""
+        if self._body is not None:
+            self._body.free()
+            self._body = None
+
+
+def read_fields(payload: bytes) -> tuple[dict[str, str], int]:
+    """Read fields, and tell where they end."""
+    fields: dict[str, str] = {}
+    try:
+        at = 1
+        for _ in range(payload[0]):
+            end = at + 1 + payload[at]
+            name = payload[at + 1 : end].decode()
+            size = payload[end] << 8 | payload[end + 1]
+            at = end + 2 + size
+            if at > len(payload):
+                raise Malformed("fields: the payload ends inside them")
+            fields[name] = payload[end + 2 : at].decode()
+    except (IndexError, UnicodeDecodeError) as error:
+        raise Malformed(f"fields: {error}") from error
+    return fields, at
+
+
+def write_fields(fields: dict[str, str]) -> bytes:
+    """Write fields."""
+    parts = [bytes((len(fields),))]
+    for name, value in fields.items():
+        raw_name, raw = name.encode(), value.encode()
+        parts.append(bytes((len(raw_name),)) + raw_name + struct.pack(">H", len(raw)) + raw)
+    return b"".join(parts)
+
+
+def write_frame(kind: Type, stream: int, payload: bytes = b"", more: int = 0) -> bytes:
+    """Write a frame, or the beginning of one whose payload goes on for `more` bytes."""
+    return HEAD.pack(COUNTED + len(payload) + more, kind, stream) + payload
+
+
+def write_answer(stream: int, code: Code, fields: dict[str, str], more: int = 0) -> bytes:
+    """Write an answer up to its body."""
+    return write_frame(Type.ANSWER, stream, bytes((code,)) + write_fields(fields), more)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What a client asks for."""
+
+    txn: str
+    verb: str
+    limit: float
+    item: str
+    nth: int
+    batch: int
+    ram: float
+    got: str
+    frame: Frame
+    body_at: int
+
+    def body(self) -> list[memoryview]:
+        """Return the body, in pieces."""
+        if self.frame.room is not None:
+            return self.frame.room.views(self.body_at)
+        return [memoryview(self.frame.payload)[self.body_at :]]
+
+
+HEX_DIGITS = frozenset("0123456789abcdef")
+
+
+def read_request(frame: Frame) -> Request:
+    """Read a request; what is missing or unusable is malformed, and the text names the field."""
+    fields, body_at = frame.split()
+
+    def number(name: str, low: float, high: float) -> float:
+        try:
+            value = float(fields[name])
+        except (KeyError, ValueError):
+            raise Malformed(f"{name}: missing or not a number") from None
+        if not low <= value <= high:
+            raise Malformed(f"{name}: out of range")
+        return value
+
+    def whole(name: str, high: int) -> int:
+        if not fields.get(name, "").isdecimal():
+            raise Malformed(f"{name}: missing or not a whole number")
+        return int(number(name, 0, high))
+
+    def tag(name: str) -> str:
+        value = fields.get(name, "")
+        if len(value) != 16 or not HEX_DIGITS.issuperset(value):
+            raise Malformed(f"{name}: missing or not 16 hex digits")
+        return value
+
+    return Request(
+        txn=tag("txn"),
+        verb=fields.get("verb", ""),
+        limit=number("limit", 1, 3600000),
+        item=tag("item"),
+        nth=whole("nth", 65535),
+        batch=whole("batch", 255),
+        ram=number("ram", 0, 1e9),
+        got=tag("got") if "got" in fields else "",
+        frame=frame,
+        body_at=body_at,
+    )
--- /dev/null
+++ b/cometseam/transport/buffers.py
@@ -0,0 +1,93 @@
+"""Buffers of one size, made when first needed and used again."""
+
+import anyio
+
+from cometseam.counters import COUNTERS, invariant
+
+SIZE = 32768  # an eighth of the largest message: small ones waste little, large ones take few
+
+
+class Pool:
+    """Lends buffers; their number is bounded by the memory they may take."""
+
+    def __init__(self, memory: int) -> None:
+        self._free: list[bytearray] = []
+        self._unmade = self.most = max(memory // SIZE, 2 * 8)
+        self._freed = anyio.Event()
+
+    @property
+    def out(self) -> int:
+        """Tell how many are lent."""
+        return self.most - self._unmade - len(self._free)
+
+    def take(self) -> bytearray | None:
+        """Lend one buffer."""
+        if self._free:
+            return self._free.pop()
+        if not self._unmade:
+            return None
+        self._unmade -= 1
+        COUNTERS.see("buffers", self.most - self._unmade)
+        return bytearray(SIZE)
+
+    def room(self, size: int) -> "Chain | None":
+        """Lend room for a message of this size, or nothing where it can't be lent whole."""
+        count = -(-size // SIZE)
+        if count > len(self._free) + self._unmade:
+            COUNTERS.add("buffers.short")
+            return None
+        return Chain(self, [buffer for _ in range(count) if (buffer := self.take()) is not None], size)
+
+    def give_back(self, buffers: list[bytearray]) -> None:
+        """Take lent buffers back."""
+        self._free += buffers
+        invariant(self.out >= 0, "buffers come back once")
+        if not self._freed.is_set():
+            self._freed.set()
+
+    async def wait(self) -> None:
+        """Wait until a buffer comes back."""
+        if self._freed.is_set():
+            self._freed = anyio.Event()
+        await self._freed.wait()
+
+
+class Chain:
+    """Room for one message, in buffers of the pool."""
+
+    __slots__ = ("_buffers", "_filled", "_pool", "size")
+
+    def __init__(self, pool: Pool, buffers: list[bytearray], size: int) -> None:
+        self._pool, self._buffers, self.size = pool, buffers, size
+        self._filled = 0
+
+    def write(self, data: memoryview) -> int:
+        """Take in what is still missing, at most all of `data`, and tell how much that was."""
+        taken = min(self.size - self._filled, len(data))
+        at = 0
+        while at < taken:
+            place, offset = divmod(self._filled, SIZE)
+            step = min(SIZE - offset, taken - at)
+            self._buffers[place][offset : offset + step] = data[at : at + step]
+            at += step
+            self._filled += step
+        return taken
+
+    def is_whole(self) -> bool:
+        """Tell whether nothing is missing any more."""
+        return self._filled == self.size
+
+    def views(self, start: int = 0) -> list[memoryview]:
+        """Return the bytes from `start` on, in pieces."""
+        views = []
+        for place, buffer in enumerate(self._buffers):
+            low, high = max(start - place * SIZE, 0), min(self.size - place * SIZE, SIZE)
+            if low < high:
+                views.append(memoryview(buffer)[low:high])
+        return views
+
+    def free(self) -> None:
+        """Give the buffers back."""
+        invariant(bool(self._buffers) or not self.size, "a message is freed once")
+        buffers, self._buffers = self._buffers, []
+        self._pool.give_back(buffers)
--- /dev/null
+++ b/cometseam/transport/changelog.py
@@ -0,0 +1,91 @@
+"""The link to the change log: a long poll over HTTP/1.1 that starts again after whatever breaks it."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import h11
+from anyio.abc import ByteStream
+from loguru import logger
+
+from cometseam.counters import COUNTERS
+from cometseam.protocol import Malformed
+from cometseam.protocol.changelog import MOST, Change, path, read_text
+
+POLL = 2000  # ms a poll may take where nothing is to be told: a dead link shows well within the 7 s allowed
+PATIENCE = 1000  # ms past that, and for a connection to come up
+FIRST_WAIT, LONGEST_WAIT = 20.0, 1000.0  # ms between two tries that fail
+
+
+class ChangeLog:
+    """The actor: it hands on each event once, in order."""
+
+    def __init__(
+        self, address: tuple[str, int], last: int, hand_on: Callable[[list[Change]], Awaitable[None]]
+    ) -> None:
+        self._address, self._last, self._hand_on = address, last, hand_on
+        self._wait = FIRST_WAIT
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            try:
+                await self._poll()
+            except (OSError, TimeoutError, Malformed, h11.ProtocolError, anyio.BrokenResourceError,
+                    anyio.EndOfStream) as error:  # fmt: skip
+                COUNTERS.add("changelog.failed")
+                logger.warning("the change log: {}: {}", type(error).__name__, error)
+            await anyio.sleep(self._wait / 1000.0)
+            self._wait = min(2.0 * self._wait, LONGEST_WAIT)
+
+    async def _poll(self) -> None:
+        """Poll over one connection until it ends."""
+        with anyio.fail_after(PATIENCE / 1000.0):
+            stream = await anyio.connect_tcp(*self._address)
+        async with stream:
+            http = h11.Connection(h11.CLIENT, max_incomplete_event_size=65536)
+            while True:
+                with anyio.fail_after((POLL + PATIENCE) / 1000.0):
+                    text = await self._ask(http, stream)
+                await self._take(read_text(text))
+                self._wait = FIRST_WAIT
+                if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                    return
+                http.start_next_cycle()
+
+    async def _ask(self, http: h11.Connection, stream: ByteStream) -> bytes:
+        host = f"{self._address[0]}:{self._address[1]}"
+        ask = h11.Request(method="GET", target=path(self._last, POLL), headers=[("Host", host)])
+        await stream.send((http.send(ask) or b"") + (http.send(h11.EndOfMessage()) or b""))
+        text = bytearray()
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    http.receive_data(await stream.receive())
+                except anyio.EndOfStream:
+                    http.receive_data(b"")
+            elif isinstance(event, h11.Response):
+                if event.status_code != 200:
+                    raise Malformed(f"status {event.status_code}")
+            elif isinstance(event, h11.Data):
+                text += event.data
+                if len(text) > MOST:
+                    raise Malformed("an answer that does not end")
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(text)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise Malformed("the connection ended inside an answer")
+
+    async def _take(self, changes: list[Change]) -> None:
+        new: list[Change] = []
+        for change in sorted(changes, key=lambda change: change.seq):
+            if change.seq <= self._last:
+                COUNTERS.add("changelog.repeated")
+                continue
+            if change.seq != self._last + 1:
+                raise Malformed(f"event {change.seq} came after {self._last}")
+            new.append(change)
+            self._last = change.seq
+        if new:
+            COUNTERS.add("changelog.events", len(new))
+            await self._hand_on(new)
--- /dev/null
+++ b/cometseam/transport/clock.py
@@ -0,0 +1,71 @@
+"""The one clock, and what is to be done at a time of it."""
+
+import time
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+
+import anyio
+
+from cometseam.counters import COUNTERS
+
+
+class Clock:
+    """Unix time in milliseconds that never goes back."""
+
+    def __init__(self) -> None:
+        self._last = 0.0
+
+    def now(self) -> float:
+        """Tell the time."""
+        self._last = max(self._last, time.time() * 1000.0)
+        return self._last
+
+
+class Timer:
+    """Something to be done at a time; cancelled it is forgotten when its time comes."""
+
+    __slots__ = ("due", "run")
+
+    def __init__(self, due: float, run: Callable[[], None]) -> None:
+        self.due, self.run = due, run
+
+    def cancel(self) -> None:
+        """See to it that nothing is done."""
+        self.run = _nothing
+
+
+def _nothing() -> None:
+    pass
+
+
+class Timers:
+    """What is to be done and when. An entry leaves when its time comes: no later than the longest wait."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._order = count()
+        self._sooner = anyio.Event()
+        self._waits_for = 0.0
+
+    def at(self, due: float, run: Callable[[], None]) -> Timer:
+        """Have something done at a time."""
+        timer = Timer(due, run)
+        heappush(self._heap, (due, next(self._order), timer))
+        if due < self._waits_for:
+            self._sooner.set()
+        return timer
+
+    async def run(self) -> None:
+        """Do what comes due, for ever."""
+        while True:
+            now = self._clock.now()
+            while self._heap and self._heap[0][0] <= now:
+                due, _, timer = heappop(self._heap)
+                COUNTERS.see("timer_late_ms", now - due)
+                timer.run()
+            self._waits_for = self._heap[0][0] if self._heap else now + 60000.0
+            self._sooner = anyio.Event()
+            with anyio.move_on_after(max(self._waits_for - self._clock.now(), 0.0) / 1000.0):
+                await self._sooner.wait()
--- a/cometseam/wirehost.py
+++ b/cometseam/wirehost.py
@@ -1,12 +1,15 @@
 """Hosts separate instances of the decision module on the simulator's wire: standard input to output."""
 
+import json
 import sys
 from typing import BinaryIO
 
+from cometseam.interface import Settings
 from cometseam.logic import Front
+from cometseam.reading import Faulty, Section
+from cometseam.settings import read_settings
 from cometseam.wire import Malformed
 from cometseam.wire.frames import Crash, Create, bug, read_frame, read_records, write_action, write_reply
-from cometseam.wire.settings import read_settings
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
@@ -17,7 +20,7 @@
         records: list[tuple[int, bytes]] = []
         for instance, event in read_records(body):
             if isinstance(event, Create):
-                fronts[instance] = Front(event.seed, read_settings(event.settings))
+                fronts[instance] = Front(event.seed, _settings(event.settings))
             elif isinstance(event, Crash):
                 fronts.pop(instance, None)
             elif instance in fronts:
@@ -31,6 +34,13 @@
         sink.flush()
 
 
+def _settings(raw: bytes) -> Settings:
+    try:
+        return read_settings(Section(json.loads(raw)))
+    except (Faulty, ValueError, RecursionError) as error:
+        raise Malformed(f"settings: {error}") from error
+
+
 def main() -> int:
     """Run until input ends; a malformed input ends it with one line on standard error."""
     try:
