--- a/cometseam/__main__.py
+++ b/cometseam/__main__.py
@@ -18,7 +18,11 @@
     except Faulty as error:
         print(f"cometseam: configuration: {error}", file=sys.stderr)
         return 2
-    anyio.run(run, config)
+    try:
+        anyio.run(run, config)
+    except OSError as error:
+        print(f"cometseam: {config.listen[0]}:{config.listen[1]}: {error.strerror}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/cometseam/config.py
+++ b/cometseam/config.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from cometseam.interface import Settings
-from cometseam.protocol.changelog import Change, read_address, read_changes
+from cometseam.protocol.changelog import Change, Unusable, read_address, read_changes
 from cometseam.reading import Faulty, Section
 from cometseam.settings import Links, Names, read_links, read_names, read_settings
 
@@ -57,7 +57,11 @@
         raise Faulty(f"seed: hex digits were expected, not {seed[:40]!r}") from None
     sockets = limits.whole("sockets", 1024, low=32)
     memory = limits.number("memory_mb", 192.0, low=64) * (1 << 20)
-    changes = read_changes(known)
+    names = read_names(settings)
+    changes = read_changes(known, names)
+    for change in changes:
+        if isinstance(change, Unusable):
+            raise Faulty(change.why)
     return Config(
         name=top.text("name"),
         listen=read_address(top, "listen"),
@@ -69,6 +73,6 @@
         last=known.whole("seq", low=0),
         known=tuple(changes),
         settings=read_settings(settings),
-        names=read_names(settings),
+        names=names,
         links=read_links(settings),
     )
--- a/cometseam/mailbox.py
+++ b/cometseam/mailbox.py
@@ -28,6 +28,11 @@
         self._filled.set()
         return True
 
+    def push(self, message: Message) -> None:
+        """Put a message in whether there is room or not. Its sender bounds how many there can be."""
+        self._plain.append(message)
+        self._filled.set()
+
     async def put(self, message: Message) -> None:
         """Put a message in; wait while the box is full."""
         while not self.offer(message):
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -8,16 +8,17 @@
 from cometseam.config import Config
 from cometseam.counters import COUNTERS
 from cometseam.logic import Front
-from cometseam.mailbox import Mailbox
 from cometseam.routing.actor import Router
 from cometseam.transport.buffers import Pool
 from cometseam.transport.changelog import ChangeLog
 from cometseam.transport.client import MOST_OPEN, Listener
 from cometseam.transport.clock import Clock, Timers
-from cometseam.transport.peer import Peer
+from cometseam.transport.peer import Surroundings
 
-OPEN_FOR = 800.0  # ms after SIGTERM in which clients may still come: 400 for connections, 200 more, and slack
-END_BY = 3500.0  # ms after SIGTERM at which all is answered: it is killed no sooner than 3700
+# By the protocol, after SIGTERM: new connections come for 400 ms and pulls on open ones for 200 ms more;
+# it is killed no sooner than 700 ms after the longest cut-off, of which 3 s count at most.
+COMES_FOR, KILLED_PAST, MOST_CUT_OFF = 600.0, 700.0, 3000.0
+TURN = 10.0  # ms between two looks at what is still owed
 SAMPLE = 50.0  # ms between two looks at the loop's lag
 
 
@@ -26,22 +27,18 @@
     clock = Clock()
     timers = Timers(clock)
     pool = Pool(config.memory)
-    caches = max(sum(len(getattr(change, "lines", ())) for change in config.known), 1)
-    most_open = config.clients * MOST_OPEN
-
-    def make_peer(name: str, address: tuple[str, int], report) -> Peer:  # type: ignore[no-untyped-def]
-        return Peer(name, address, config.links, max(config.peers // caches, 1), pool, clock, timers, report,
-                    Mailbox(most_open))  # fmt: skip
-
-    router = Router(Front(config.seed, config.settings), config.names, most_open, clock, timers, make_peer)
-    listener = Listener(config.listen, config.clients, pool, router)
+    around = Surroundings(config.links, pool, clock, timers, config.peers)
+    front = Front(config.seed, config.settings)
+    router = Router(front, config.names, config.clients * MOST_OPEN, around)
+    listener = Listener(config.listen, config.clients, pool, clock, router)
+    log = ChangeLog(config.changelog, config.last, config.names, router.change)
     async with anyio.create_task_group() as tasks:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1) as signals:
-            await router.change(list(config.known))
-            tasks.start_soon(router.run)
-            tasks.start_soon(timers.run)
-            tasks.start_soon(ChangeLog(config.changelog, config.last, router.change).run)
+            router.change(list(config.known))
+            for actor in (router.run, timers.run, log.run):
+                tasks.start_soon(actor)
             tasks.start_soon(listener.run, tasks)
+            tasks.start_soon(listener.end_stalled, config.links.longest_cut_off)
             tasks.start_soon(_sample, clock)
             logger.info("{} listens at {}:{}", config.name, *config.listen)
             async for number in signals:
@@ -51,30 +48,33 @@
             logger.info("{} drains", config.name)
             router.draining = True
             listener.drain()
-            end_by, now = clock.now() + END_BY, clock.now()
-            open_until = now + OPEN_FOR
-            while (now := clock.now()) < end_by:
-                idle = not router.owed and all(client.is_idle for client in listener.clients)
-                if now >= open_until and idle:
-                    break
-                await anyio.sleep(0.01)
-            router.give_up_all()
-            await anyio.sleep(0.02)
+            await _drain(config, clock, router, listener)
             tasks.cancel_scope.cancel()
     COUNTERS.print("at exit")
 
 
+async def _drain(config: Config, clock: Clock, router: Router, listener: Listener) -> None:
+    """Wait until nothing more can come and nothing is owed; at the last moment answer what still is."""
+    began = clock.now()
+    grace = 0.5 * KILLED_PAST
+    end_by = began + min(config.links.longest_cut_off, MOST_CUT_OFF) + grace
+    while clock.now() < end_by:
+        idle = not router.owed and all(client.is_idle for client in listener.clients)
+        if idle and clock.now() >= began + COMES_FOR + TURN:
+            return
+        await anyio.sleep(TURN / 1000.0)
+    router.give_up_all()
+    await anyio.sleep(TURN / 1000.0)
+
+
 async def _sample(clock: Clock) -> None:
     """Measure how late the loop comes to what is due."""
-    turns = 0
     while True:
-        due = clock.now() + SAMPLE
-        await anyio.sleep(SAMPLE / 1000.0)
-        lag = clock.now() - due
-        COUNTERS.see("loop_lag_ms", lag)
-        for bound in (5, 20, 50, 100):
-            if lag > bound:
-                COUNTERS.add(f"loop_lag_over_{bound}_ms")
-        turns += 1
-        if turns % 20 == 0:
-            COUNTERS.sample()
+        for _ in range(20):
+            due = clock.now() + SAMPLE
+            await anyio.sleep(SAMPLE / 1000.0)
+            lag = clock.now() - due
+            COUNTERS.see("loop_lag_ms", lag)
+            COUNTERS.add("loop_lag.looks")
+            COUNTERS.add("loop_lag.over_a_tenth", int(lag > 0.1 * SAMPLE))
+        COUNTERS.sample()
--- a/cometseam/protocol/changelog.py
+++ b/cometseam/protocol/changelog.py
@@ -2,11 +2,11 @@
 
 import json
 from dataclasses import dataclass
-from typing import Any
 
 from cometseam.interface import Lifecycle
 from cometseam.protocol import Malformed
 from cometseam.reading import Faulty, Section
+from cometseam.settings import Names
 
 MOST = 4 << 20  # bytes of one answer
 STATES = {"active": Lifecycle.READY, "leaving": Lifecycle.DRAINING, "left": Lifecycle.GONE}
@@ -14,20 +14,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Line:
-    """One line of the list of caches."""
+    """One line of the list of caches; zone and kind by their places in the settings."""
 
     name: str
     address: tuple[str, int]
-    zone: str
-    kind: str
+    zone: int
+    kind: int
     cell: int
-    state: Lifecycle
+    lifecycle: Lifecycle
     weight: float
-    since: float
+    ready_at: float
 
 
 @dataclass(frozen=True, slots=True)
-class Fleet:
+class Listing:
     """The list of caches, or what has changed in it."""
 
     seq: int
@@ -45,7 +45,15 @@
     time: float
 
 
-Change = Fleet | Purge
+@dataclass(frozen=True, slots=True)
+class Unusable:
+    """An event that can't be read."""
+
+    seq: int
+    why: str
+
+
+Change = Listing | Purge | Unusable
 
 
 def path(since: int, timeout: int) -> str:
@@ -53,42 +61,53 @@
     return f"/changes?since={since}&timeout={timeout}"
 
 
-def read_text(raw: bytes) -> list[Change]:
+def read_text(raw: bytes, names: Names) -> list[Change]:
     """Read the text of an answer."""
     try:
-        return read_changes(Section(json.loads(raw)))
+        return read_changes(Section(json.loads(raw)), names)
     except (ValueError, RecursionError) as error:
-        raise Malformed(f"the change log: {error}") from error
+        raise Malformed(str(error)) from error
 
 
-def read_changes(answer: Section) -> list[Change]:
-    """Read events; what is not usable is `Faulty` as a whole, so that nothing is half applied."""
+def read_changes(answer: Section, names: Names) -> list[Change]:
+    """Read events, in order. One that can't be read says so in its place: none is half applied."""
     answer.whole("seq", low=0)
-    return [_change(item) for item in answer.sections("results")]
+    changes: list[Change] = []
+    for item in answer.sections("results"):
+        seq = item.whole("seq", low=0)
+        try:
+            changes.append(_purge(seq, item) if "invalidate" in item.values else _listing(seq, item, names))
+        except Faulty as error:
+            changes.append(Unusable(seq, str(error)))
+    return sorted(changes, key=lambda change: change.seq)
 
 
-def _change(item: Section) -> Change:
-    seq = item.whole("seq", low=0)
-    if "fleet" in item.values:
-        fleet = item.section("fleet")
-        return Fleet(seq, fleet.flag("snapshot"), tuple(_line(line) for line in fleet.sections("endpoints")))
+def _purge(seq: int, item: Section) -> Purge:
     purge = item.section("invalidate")
+    time = purge.number("time", low=0)
     if "object" in purge.values:
-        return Purge(seq, read_id(purge, "object"), 0, purge.number("time"))
-    return Purge(seq, 0, purge.whole("bucket", low=0), purge.number("time"))
-
-
-def _line(line: Section) -> Line:
-    return Line(
-        name=line.text("name"),
-        address=read_address(line, "address"),
-        zone=line.text("zone"),
-        kind=line.text("type"),
-        cell=line.whole("group", 0),
-        state=line.one_of("status", STATES),
-        weight=line.number("weight", 1.0, low=0),
-        since=line.number("since_ms", 0.0, low=0),
+        return Purge(seq, read_id(purge, "object"), 0, time)
+    return Purge(seq, 0, purge.whole("bucket", low=0), time)
+
+
+def _listing(seq: int, item: Section, names: Names) -> Listing:
+    listing = item.section("fleet")
+    zones = {name: place for place, name in enumerate(names.zones)}
+    kinds = {name: place for place, name in enumerate(names.kinds)}
+    lines = tuple(
+        Line(
+            name=line.text("name"),
+            address=read_address(line, "address"),
+            zone=line.one_of("zone", zones),
+            kind=line.one_of("type", kinds),
+            cell=line.whole("group", 0),
+            lifecycle=line.one_of("status", STATES),
+            weight=line.number("weight", 1.0, low=0),
+            ready_at=line.number("since_ms", 0.0, low=0),
+        )
+        for line in listing.sections("endpoints")
     )
+    return Listing(seq, listing.flag("snapshot"), lines)
 
 
 def read_id(section: Section, key: str) -> int:
@@ -104,7 +123,7 @@
 
 def read_address(section: Section, key: str) -> tuple[str, int]:
     """Read `host:port`."""
-    text: Any = section.text(key)
+    text = section.text(key)
     host, mark, port = text.rpartition(":")
     if not mark or not host or not port.isdigit() or not 0 < int(port) < 65536:
         raise Faulty(f"{section.at(key)}: host:port was expected, not {text[:40]!r}")
--- a/cometseam/protocol/frames.py
+++ b/cometseam/protocol/frames.py
@@ -14,7 +14,7 @@
 class Type(IntEnum):
     """What a frame is."""
 
-    REQUEST = 16
+    PULL = 16
     ANSWER = 17
     HANG_UP = 18
     READY = 32
@@ -26,8 +26,8 @@
     """What an answer tells."""
 
     SERVED = 1
-    REFUSED = 2
-    FAILED = 3
+    SHED = 2
+    ERRORED = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +87,11 @@
                 self._body = None
         return at
 
+    @property
+    def is_inside(self) -> bool:
+        """Tell whether a frame is half read."""
+        return bool(self._head)
+
     def close(self) -> None:
         """Give back what a half-read frame took."""
         if self._body is not None:
@@ -132,17 +137,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Request:
+class Order:
     """What a client asks for."""
 
-    txn: str
-    verb: str
-    limit: float
-    item: str
-    nth: int
-    batch: int
-    ram: float
-    got: str
+    id: str
+    workload: str
+    left: float
+    object: str
+    part: int
+    group: int
+    size_kb: float
+    held_tag: str  # of the copy that the client holds; empty: none
     frame: Frame
     body_at: int
 
@@ -153,11 +158,12 @@
         return [memoryview(self.frame.payload)[self.body_at :]]
 
 
+LONGEST_LEFT = 3600000.0
 HEX_DIGITS = frozenset("0123456789abcdef")
 
 
-def read_request(frame: Frame) -> Request:
-    """Read a request; what is missing or unusable is malformed, and the text names the field."""
+def read_order(frame: Frame) -> Order:
+    """Read an order; what is missing or unusable is malformed, and the text names the field."""
     fields, body_at = frame.split()
 
     def number(name: str, low: float, high: float) -> float:
@@ -180,15 +186,35 @@
             raise Malformed(f"{name}: missing or not 16 hex digits")
         return value
 
-    return Request(
-        txn=tag("txn"),
-        verb=fields.get("verb", ""),
-        limit=number("limit", 1, 3600000),
-        item=tag("item"),
-        nth=whole("nth", 65535),
-        batch=whole("batch", 255),
-        ram=number("ram", 0, 1e9),
-        got=tag("got") if "got" in fields else "",
+    return Order(
+        id=tag("txn"),
+        workload=fields.get("verb", ""),
+        left=number("limit", 1, LONGEST_LEFT),
+        object=tag("item"),
+        part=whole("nth", 65535),
+        group=whole("batch", 255),
+        size_kb=number("ram", 0, 1e9),
+        held_tag=tag("got") if "got" in fields else "",
         frame=frame,
         body_at=body_at,
     )
+
+
+def write_served(stream: int, copy_holds: bool, more: int) -> bytes:
+    """Write the answer that a pull was served, up to its body."""
+    return write_answer(stream, Code.SERVED, {"ok304": "1"} if copy_holds else {}, more)
+
+
+def write_shed(stream: int, come_back_in: float) -> bytes:
+    """Write the answer that a pull was shed."""
+    return write_answer(stream, Code.SHED, {"later": str(round(come_back_in))} if come_back_in > 0 else {})
+
+
+def write_errored(stream: int, why: str = "") -> bytes:
+    """Write the answer that a pull has errored; on stream 0 it belongs to no pull."""
+    return write_answer(stream, Code.ERRORED, {"reason": why[:200]} if why else {})
+
+
+def write_readiness(stream: int, ready: bool) -> bytes:
+    """Write whether the front can serve."""
+    return write_frame(Type.READINESS, stream, bytes((1 if ready else 2,)) + write_fields({}))
--- a/cometseam/protocol/resp.py
+++ b/cometseam/protocol/resp.py
@@ -1,24 +1,86 @@
 """Commands to caches and their answers, as RESP arrays of bulk strings."""
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 
+from cometseam.interface import Outcome, Remark
 from cometseam.protocol import Body, Malformed, Room
 
 MOST_BODY = 262144
 MOST_HEAD = 8192  # bytes of an answer up to its body
 MOST_NUMBER = 12  # bytes of a line that counts something
-WORDS = frozenset({b"DONE", b"KEEP", b"LACK", b"WAIT", b"BROKE", b"PAST", b"FIT", b"UNFIT"})
+ALIVE = "FIT"
+WORDS = {
+    "DONE": Outcome.OK, "KEEP": Outcome.OK, "LACK": Outcome.MISS, "WAIT": Outcome.FULL,
+    "BROKE": Outcome.ERROR, "PAST": Outcome.MOOT, ALIVE: Outcome.OK,
+}  # fmt: skip
+REMARKS = {
+    "cached": Remark.HIT, "fetched": Remark.FILLED, "fetched_root": Remark.FILLED_FROM_ORIGIN,
+    "merged": Remark.JOINED, "past_fresh": Remark.STALE, "up_refused": Remark.SOURCE_REFUSED,
+    "up_lost": Remark.SOURCE_BROKE, "up_empty": Remark.SOURCE_LACKS, "fills_full": Remark.NO_PLACE,
+    "root_failed": Remark.ORIGIN_FAILED,
+}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A relay as it is written, without its body."""
+
+    id: str
+    workload: str
+    object: str
+    part: int
+    source: str  # empty: no fill
+    rank: int
+    oldest: float  # ms; 0: the fresh time of the workload
+    join: bool
+    only_held: bool
+    parent_keeps_none: bool
+    renew: bool
+    held_tag: str
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """One answer of a cache."""
+    """One answer of a cache; `copy_holds`: the client's copy is the one, and no bytes come."""
 
     id: str
     word: str
-    fields: dict[str, str]
+    outcome: Outcome
+    remark: Remark = Remark.NONE
+    waited: float = 0.0
+    load: dict[str, float] | None = None
     body: Body | None = None
 
+    @property
+    def copy_holds(self) -> bool:
+        """Tell whether the client's own copy is the one."""
+        return self.word == "KEEP"
+
+
+class Void:
+    """Passes over the bytes of a message that nobody wants."""
+
+    def __init__(self, size: int) -> None:
+        self._missing = size
+
+    def write(self, data: memoryview) -> int:
+        """Pass over what is still missing."""
+        taken = min(self._missing, len(data))
+        self._missing -= taken
+        return taken
+
+    def is_whole(self) -> bool:
+        """Tell whether nothing is missing any more."""
+        return not self._missing
+
+    def views(self, start: int = 0) -> list[memoryview]:
+        """Return nothing."""
+        return []
+
+    def free(self) -> None:
+        """Nothing is held."""
+
 
 class Decoder:
     """Takes a stream apart into answers."""
@@ -52,10 +114,10 @@
                     body = self._room(self._size)
                     if body is None:
                         break
-                    self._begun = Answer(self._begun.id, self._begun.word, self._begun.fields, body)
-                at += body.write(data[at:])
-                if body.is_whole():
-                    self._size = 0
+                    self._begun = replace(self._begun, body=body)
+                taken = body.write(data[at:])
+                at += taken
+                self._size -= taken
             elif self._ending:
                 if data[at] != b"\r\n"[2 - self._ending]:
                     raise Malformed("a body is longer than told")
@@ -66,6 +128,13 @@
                 self._begun = None
         return at
 
+    def drop(self, id: str) -> None:
+        """Keep no more of this answer, if it is half read: its rest is passed over."""
+        if self._begun is not None and self._begun.id == id:
+            if self._begun.body is not None:
+                self._begun.body.free()
+            self._begun = replace(self._begun, body=Void(self._size))
+
     def close(self) -> None:
         """Give back what a half-read answer took."""
         if self._begun is not None and self._begun.body is not None:
@@ -90,7 +159,7 @@
         if place == 3:
             if size[0] > MOST_BODY:
                 raise Malformed(f"a body of {size[0]} bytes")
-            return _answer(parts), size[0], at
+            return _answer(parts, True), size[0], at
         if size[0] > MOST_HEAD:
             raise Malformed(f"a part of {size[0]} bytes")
         if len(raw) < at + size[0] + 2:
@@ -99,17 +168,35 @@
         at += size[0] + 2
         if raw[at - 2 : at] != b"\r\n":
             raise Malformed("a part is longer than told")
-    return _answer(parts), -1, at
+    return _answer(parts, False), -1, at
 
 
-def _answer(parts: list[bytes]) -> Answer:
-    if parts[1] not in WORDS:
-        raise Malformed(f"an unknown word {parts[1][:20]!r}")
+def _answer(parts: list[bytes], has_body: bool) -> Answer:
     try:
-        fields = read_fields(parts[2].decode()) if parts[2:] else {}
-        return Answer(parts[0].decode(), parts[1].decode(), fields)
+        id, word, *rest = (part.decode() for part in parts)
+        fields = read_fields(rest[0]) if rest else {}
     except UnicodeDecodeError as error:
         raise Malformed(f"an answer that is no text: {error}") from error
+    if word not in WORDS:
+        raise Malformed(f"an unknown word {word[:20]!r}")
+    if word == "DONE" and not has_body:
+        raise Malformed("DONE without bytes")
+    load = None
+    if "rep" in fields:
+        items = (item.partition(":") for item in fields["rep"].split(";"))
+        load = {name: _read_figure(value) for name, _, value in items}
+    waited = max(_read_figure(fields["lag"]), 0.0) if "lag" in fields else 0.0
+    return Answer(id, word, WORDS[word], REMARKS.get(fields.get("why", ""), Remark.NONE), waited, load)
+
+
+def _read_figure(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value):
+        raise Malformed(f"a figure was expected, not {text[:20]!r}")
+    return value
 
 
 def _read_number(raw: bytearray, at: int, mark: bytes) -> tuple[int, int] | None:
@@ -139,17 +226,35 @@
     return fields
 
 
-def write_request(id: str, fields: dict[str, str], body: int) -> bytes:
-    """Write a request up to its body of so many bytes; after the body a line end is due."""
-    text = ",".join(f"{name}={value}" for name, value in fields.items()) or "-"
-    return b"*4\r\n" + _bulk("REQ") + _bulk(id) + _bulk(text) + b"$%d\r\n" % body
+def write_request(command: Command, time_out: float, body: int) -> bytes:
+    """Write a relay up to its body of so many bytes; after the body a line end is due."""
+    fields = [f"lane={command.workload}", f"name={command.object}", f"piece={command.part}"]
+    fields.append(f"ttl={max(round(time_out), 1)}")
+    if command.source:
+        fields.append(f"via={command.source}")
+    if command.rank:
+        fields.append(f"tier={command.rank}")
+    if command.oldest > 0:
+        fields.append(f"fresh={max(int(command.oldest), 1)}")  # rounded down: never older than asked
+    how = {"ride": command.join, "have-only": command.only_held, "through": command.parent_keeps_none,
+           "update": command.renew}  # fmt: skip
+    if any(how.values()):
+        fields.append("opts=" + "+".join(word for word, on in how.items() if on))
+    if command.held_tag:
+        fields.append(f"known={command.held_tag}")
+    return b"*4\r\n" + _bulk("REQ") + _bulk(command.id) + _bulk(",".join(fields)) + b"$%d\r\n" % body
 
 
 def write_stop(id: str) -> bytes:
-    """Write that a request is given up."""
+    """Write that a relay is given up."""
     return b"*2\r\n" + _bulk("STOP") + _bulk(id)
 
 
+def write_hello(tag: str) -> bytes:
+    """Ask whether the connection works."""
+    return b"*2\r\n" + _bulk("HELO") + _bulk(tag)
+
+
 def _bulk(text: str) -> bytes:
     raw = text.encode()
     return b"$%d\r\n%b\r\n" % (len(raw), raw)
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -1,13 +1,12 @@
 """The module's actor: the only place that calls `Front.handle`.
 
 It owns the pulls that are open, the list of caches by name, and the peers. Everything it is told comes
-through its mailbox; purges, changes of the list and relays that ended come before new requests.
+through its mailbox; purges, changes of the list and relays that ended come before new pulls.
 """
 
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -17,15 +16,12 @@
 from cometseam.counters import COUNTERS, invariant
 from cometseam.logic import Front
 from cometseam.mailbox import Mailbox
-from cometseam.protocol.changelog import Change, Fleet
-from cometseam.protocol.frames import Code, Request
+from cometseam.protocol.changelog import Change, Listing, Purge
+from cometseam.protocol.frames import Order
 from cometseam.routing import translate
 from cometseam.settings import Names
 from cometseam.transport.client import Client
-from cometseam.transport.clock import Clock, Timers
-from cometseam.transport.peer import Ask, End, GiveUp, How, Peer
-
-OVERDUE = 15.0  # ms past a pull's cut-off at which it is answered whatever the module does
+from cometseam.transport.peer import Ask, End, GiveUp, How, Peer, Surroundings
 
 
 @dataclass(slots=True, eq=False)
@@ -35,20 +31,30 @@
     number: int
     client: Client
     stream: int
-    request: Request
+    order: Order
+    event: i.Pull
     cut_off: float
     owed: bool = True
     relays: int = 0
-    out: int = -1  # the cache that its relay is out to
+    out: "Out | None" = None
+
+
+@dataclass(frozen=True, slots=True)
+class Out:
+    """The relay of a pull that is out."""
+
+    relay: i.Relay
+    ask: Ask
+    peer: Peer | None
 
 
 @dataclass(frozen=True, slots=True)
 class Taken:
-    """A request has come in."""
+    """A pull has come in."""
 
     client: Client
     stream: int
-    request: Request
+    order: Order
     at: float
 
 
@@ -66,26 +72,17 @@
 class Router:
     """The actor round one `Front`."""
 
-    def __init__(
-        self,
-        front: Front,
-        names: Names,
-        most_open: int,
-        clock: Clock,
-        timers: Timers,
-        make_peer: Callable[[str, tuple[str, int], Callable[[End], None]], Peer],
-    ) -> None:
-        self._front, self._names, self._clock, self._timers = front, names, clock, timers
-        self._make_peer = make_peer
+    def __init__(self, front: Front, names: Names, most_open: int, around: Surroundings) -> None:
+        self._front, self._names, self._around = front, names, around
         self._workloads = {name: place for place, name in enumerate(names.workloads)}
-        self._roster = translate.Roster(names)
-        self._peers: dict[int, Peer] = {}  # by cache; one leaves when its cache has gone and nothing is out
+        self._roster = translate.Roster()
+        self._peers: dict[int, Peer] = {}  # by cache; one leaves when its cache has gone or moved
         self._mailbox: Mailbox[Message] = Mailbox(most_open)
         self._most_open = most_open
         self._open: dict[int, Open] = {}
-        self._by_stream: dict[tuple[Client, int], Open] = {}
+        self._by_stream: dict[tuple[Client, int], Open] = {}  # a pull leaves when it is no longer owed
         self._last = 0
-        self._events: deque[i.Event] = deque()  # what an action brought about at once
+        self._events: deque[i.Event] = deque()  # what is still to be handed to the module
         self._tasks: TaskGroup | None = None
         self._listed = False
         self.draining = False
@@ -96,28 +93,28 @@
         """Tell whether it can serve."""
         return self._listed and not self.draining
 
-    def take(self, client: Client, stream: int, request: Request) -> bool:
-        """Take a request in, unless as many are open as it may hold."""
-        if len(self._open) + len(self._mailbox) >= self._most_open:
+    @property
+    def owed(self) -> int:
+        """Tell how many pulls are open or still to be taken in."""
+        return len(self._open) + len(self._mailbox)
+
+    def take(self, client: Client, stream: int, order: Order) -> bool:
+        """Take a pull in, unless as many are open as it may hold."""
+        if self.owed >= self._most_open:
             COUNTERS.add("pull.no_room")
             return False
-        return self._mailbox.offer(Taken(client, stream, request, self._clock.now()))
+        return self._mailbox.offer(Taken(client, stream, order, self._around.clock.now()))
 
     def hang_up(self, client: Client, stream: int) -> None:
-        """A client no longer waits."""
-        self._mailbox.put_urgent(Left(client, stream))
+        """A client no longer waits; its pull, if it was not handled yet, comes first."""
+        self._mailbox.push(Left(client, stream))
 
-    async def change(self, changes: list[Change]) -> None:
+    def change(self, changes: list[Change]) -> None:
         """Take in events of the change log."""
-        for change in changes:
-            if isinstance(change, Fleet):
-                self._roster.check(change)
         self._mailbox.put_urgent(changes)
 
-    @property
-    def owed(self) -> int:
-        """Tell how many pulls are open."""
-        return len(self._open) + len(self._mailbox)
+    def _report(self, end: End) -> None:
+        self._mailbox.put_urgent(end)  # as many as there are relays out, at most
 
     # The actor
 
@@ -126,76 +123,95 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                self._handle(await self._mailbox.take())
+                message = await self._mailbox.take()
+                try:
+                    self._handle(message)
+                except Exception as error:
+                    COUNTERS.add("routing.exception")
+                    logger.opt(exception=error).error("a {} failed", type(message).__name__)
 
     def _handle(self, message: Message) -> None:
-        try:
-            match message:
-                case Taken():
-                    self._taken(message)
-                case End():
-                    self._ended(message)
-                case Left():
-                    pull = self._by_stream.get((message.client, message.stream))
-                    if pull is not None:
-                        COUNTERS.add("pull.hung_up")
-                        self._settle(pull)
-                        self._decide(i.HungUp(pull.number))
-                case i.Rang():
-                    self._decide(message)
-                case _:
-                    for change in message:
-                        self._change(change)
-        except Exception as error:
-            COUNTERS.add("routing.exception")
-            logger.opt(exception=error).error("a message failed")
+        match message:
+            case Taken():
+                self._taken(message)
+            case End():
+                self._ended(message)
+            case Left():
+                pull = self._by_stream.get((message.client, message.stream))
+                if pull is not None:
+                    COUNTERS.add("pull.hung_up")
+                    self._settle(pull)
+                    self._decide(i.HungUp(pull.number))
+            case i.Rang():
+                self._decide(message)
+            case _:
+                for change in message:
+                    self._change(change)
 
     def _taken(self, taken: Taken) -> None:
-        request = taken.request
-        workload = self._workloads.get(request.verb)
+        order, now = taken.order, self._around.clock.now()
+        workload = self._workloads.get(order.workload)
         if workload is None:
             COUNTERS.add("client.bad_input")
-            taken.client.answer(taken.stream, Code.FAILED, {"reason": "verb: unknown"})
-            request.frame.free()
+            taken.client.errored(taken.stream, "verb: unknown")
+            order.frame.free()
             return
         self._last += 1
-        pull = Open(self._last, taken.client, taken.stream, request, taken.at + request.limit)
+        cut_off = taken.at + order.left
+        event = translate.pull(self._last, order, workload, cut_off - now)
+        pull = Open(self._last, taken.client, taken.stream, order, event, cut_off)
         self._open[pull.number] = pull
         self._by_stream[taken.client, taken.stream] = pull
         COUNTERS.add("pull.taken")
         COUNTERS.see("pull.open", len(self._open))
-        self._timers.at(pull.cut_off + OVERDUE, lambda: self._overdue(pull))
-        left = pull.cut_off - self._clock.now()
-        self._decide(translate.pull(pull.number, request, workload, left))
+        # Guards the first rule against faults of this program: within the grace, whatever else happens.
+        self._around.timers.at(cut_off + self._around.links.answer_grace, lambda: self._overdue(pull))
+        self._decide(event)
 
     def _overdue(self, pull: Open) -> None:
         if pull.owed:
+            self._settle(pull)
+            pull.client.errored(pull.stream)
             invariant(False, "an answer by the cut-off")
-            self._answer(pull, Code.FAILED, {})
 
     def _change(self, change: Change) -> None:
-        now = self._clock.now()
-        if not isinstance(change, Fleet):
+        if isinstance(change, Purge):
             COUNTERS.add("changelog.purges")
-            self._decide(translate.purged(change, now))
-            return
-        members = self._roster.members(change)
-        for cache, peer in list(self._peers.items()):
-            if cache not in self._roster or self._roster.line(cache).address != peer.address:
-                self._peers.pop(cache)
-                assert self._tasks is not None
-                self._tasks.start_soon(self._retire, peer)
-        if not self._listed and members.kind is i.ListKind.FULL:
-            members = i.Members(i.ListKind.CACHED, members.entries)
-        self._decide(members)
-        self._listed = True
+            self._decide(translate.purged(change, self._around.clock.now()))
+            wanted, group = change.object, change.group
+            self._reconsider(
+                lambda pull, _: pull.event.object == wanted if wanted else pull.event.group == group
+            )
+        elif isinstance(change, Listing):
+            members = self._roster.take(change)
+            self._around.peers = len(self._roster)
+            for cache, peer in list(self._peers.items()):
+                line = self._roster.get(cache)
+                if line is None or line.address != peer.address:
+                    del self._peers[cache]
+                    self._start(self._retire, peer)
+            first = not self._listed and change.whole
+            self._listed = True
+            self._decide(i.Members(i.ListKind.CACHED, members.entries) if first else members)
+            unfit = {entry.cache for entry in members.entries if entry.lifecycle is not i.Lifecycle.READY}
+            self._reconsider(lambda _, relay: relay.cache in unfit or relay.source in unfit)
+
+    def _reconsider(self, concerned: Callable[[Open, i.Relay], bool]) -> None:
+        """Take back relays of which nothing is written yet: they were decided before a drain or a purge."""
+        for pull in list(self._open.values()):
+            if pull.out is not None and pull.out.peer is not None and concerned(pull, pull.out.relay):
+                pull.out.peer.mailbox.push(GiveUp(pull.out.ask, if_unsent=True))
 
     async def _retire(self, peer: Peer) -> None:
         """Let what is out to a peer that is gone come to its end."""
         while not peer.is_idle:
-            await anyio.sleep(0.1)
+            await anyio.sleep(self._around.links.connect_within / 1000.0)
         peer.stop()
 
+    def _start(self, run: Callable[..., object], *arguments: object) -> None:
+        assert self._tasks is not None
+        self._tasks.start_soon(run, *arguments)  # type: ignore[arg-type]
+
     # Events and actions
 
     def _decide(self, event: i.Event) -> None:
@@ -203,119 +219,102 @@
         while self._events:
             event = self._events.popleft()
             try:
-                actions = self._front.handle(self._clock.now(), event)
+                for action in self._front.handle(self._around.clock.now(), event):
+                    self._act(action)
             except Exception as error:
                 COUNTERS.add("module.exception")
-                logger.opt(exception=error).error("the module failed on {}", type(event).__name__)
+                logger.opt(exception=error).error("the module failed on a {}", type(event).__name__)
                 pull = self._open.get(getattr(event, "id", -1))
                 if pull is not None and pull.owed:
-                    self._answer(pull, Code.FAILED, {})
-                continue
-            for action in actions:
-                self._act(action)
+                    self._settle(pull)
+                    pull.client.errored(pull.stream)
 
     def _act(self, action: i.Action) -> None:
         match action:
             case i.Relay():
                 self._relay(action)
-            case i.Shed():
-                later = {"later": str(round(action.come_back_in))} if action.come_back_in > 0 else {}
-                self._final(action.id, Code.REFUSED, later)
-            case i.Error():
-                self._final(action.id, Code.FAILED, {})
+            case i.Shed() | i.Error():
+                pull = self._open.get(action.id)
+                if pull is None or not pull.owed:
+                    return
+                self._settle(pull)
+                if isinstance(action, i.Shed):
+                    pull.client.shed(pull.stream, action.come_back_in)
+                else:
+                    pull.client.errored(pull.stream)
             case i.Recall():
                 pull = self._open.get(action.id)
-                if pull is not None and pull.out in self._peers:
-                    self._peers[pull.out].mailbox.put_urgent(GiveUp(action.id, action.relay))
+                if pull is not None and pull.out is not None and pull.out.peer is not None:
+                    pull.out.peer.mailbox.push(GiveUp(pull.out.ask))
             case i.Wake():
                 rang = i.Rang(action.mark)
-                self._timers.at(self._clock.now() + action.after, lambda: self._mailbox.put_urgent(rang))
+                due = self._around.clock.now() + action.after
+                self._around.timers.at(due, lambda: self._mailbox.put_urgent(rang))
             case i.Watch():
                 # The log is followed at all times; the call's one answer tells that nothing was missed.
                 self._events.append(i.Members(i.ListKind.CHANGES, ()))
-            case i.Say():
-                logger.info("the module says: {}", action.text)
             case i.Probe():
                 self._events.append(i.Probed(action.cache, i.Outcome.MOOT, ()))
+            case i.Say():
+                logger.info("the module says: {}", action.text)
 
     def _relay(self, relay: i.Relay) -> None:
         pull = self._open[relay.id]
-        invariant(pull.owed and pull.out < 0, "a relay for a pull that is owed and has none out")
-        now = self._clock.now()
-        number, pull.relays = pull.relays, pull.relays + 1
-        source = ""
-        if relay.source != relay.cache and relay.source in self._roster:
-            source = self._roster.line(relay.source).name
-        time_out = relay.time_out if relay.time_out else pull.cut_off - now
-        request = pull.request
-        ask = Ask(pull.number, number, request.txn, translate.relay_fields(relay, request, source),
-                  request.body(), now, now + time_out)  # fmt: skip
-        pull.out = relay.cache
+        invariant(pull.owed and pull.out is None, "a relay for a pull that is owed and has none out")
+        now = self._around.clock.now()
+        source = self._roster.get(relay.source) if relay.source != relay.cache else None
+        due = now + relay.time_out if relay.time_out else pull.cut_off
+        command = translate.command(relay, pull.order, source.name if source is not None else "")
+        ask = Ask(pull.number, pull.relays, command, pull.order.body(), now, due)
         peer = self._peer(relay.cache)
+        pull.relays += 1
+        pull.out = Out(relay, ask, peer)
         COUNTERS.add("relay.sent")
         if peer is None or not peer.mailbox.offer(ask):
             COUNTERS.add("relay.no_room")
             self._report(End(ask, How.UNSENT))
 
     def _peer(self, cache: int) -> Peer | None:
-        peer = self._peers.get(cache)
-        if peer is None and cache in self._roster:
-            line = self._roster.line(cache)
-            peer = self._peers[cache] = self._make_peer(line.name, line.address, self._report)
-            assert self._tasks is not None
-            self._tasks.start_soon(peer.run)
+        peer, line = self._peers.get(cache), self._roster.get(cache)
+        if peer is None and line is not None:
+            most = self._around.links.streams * self._around.share
+            peer = Peer(line.name, line.address, self._around, self._report, Mailbox(most))
+            self._peers[cache] = peer
+            self._start(peer.run)
         return peer
 
-    def _report(self, end: End) -> None:
-        self._mailbox.put_urgent(end)  # as many as there are relays out at most
-
     def _ended(self, end: End) -> None:
-        pull = self._open.get(end.ask.pull)
-        answer = end.answer
-        invariant(pull is not None and pull.out >= 0, "an end of a relay that is out")
-        if pull is None:
-            if answer is not None and answer.body is not None:
-                answer.body.free()
-            return
+        answer, pull = end.answer, self._open.get(end.ask.pull)
+        invariant(pull is not None and pull.out is not None, "an end of a relay that is out")
         COUNTERS.add(f"relay.{answer.word.lower() if answer is not None else end.how}")
-        cache, pull.out = pull.out, -1
-        if answer is not None and answer.word in ("DONE", "KEEP") and pull.owed:
-            keep = {"ok304": "1"} if answer.word == "KEEP" else {}
-            self._answer(pull, Code.SERVED, keep, answer.body)
-        elif answer is not None and answer.body is not None:
-            answer.body.free()
-        closed = not pull.owed
-        if closed:
-            self._close(pull)
-        self._decide(translate.ended(end, cache, self._clock.now(), closed, self._names.reports))
-
-    def _final(self, number: int, code: Code, fields: dict[str, str]) -> None:
-        pull = self._open.get(number)
-        if pull is not None and pull.owed:
-            self._answer(pull, code, fields)
-
-    def _answer(self, pull: Open, code: Code, fields: dict[str, str], body: Any = None) -> None:
-        """Write a pull's one answer: every answer passes here."""
-        self._settle(pull)
-        COUNTERS.see("answer_past_cut_off_ms", self._clock.now() - pull.cut_off)
-        pull.client.answer(pull.stream, code, fields, body)
+        body = answer.body if answer is not None else None
+        if pull is None or pull.out is None:
+            if body is not None:
+                body.free()
+            return
+        cache, pull.out = pull.out.relay.cache, None
+        if answer is not None and answer.outcome is i.Outcome.OK and pull.owed:
+            self._settle(pull)
+            pull.client.served(pull.stream, answer.copy_holds, body)
+        elif body is not None:
+            body.free()
+        if not pull.owed:
+            self._settle(pull)
+        now = self._around.clock.now()
+        self._decide(translate.ended(end, cache, now, not pull.owed, self._names.reports))
 
     def _settle(self, pull: Open) -> None:
-        """No answer is owed any more."""
+        """No answer is owed any more: every final answer passes here, just before it is written."""
+        if pull.owed:
+            COUNTERS.see("answer_past_cut_off_ms", self._around.clock.now() - pull.cut_off)
         pull.owed = False
         self._by_stream.pop((pull.client, pull.stream), None)
-        if pull.out < 0:
-            self._close(pull)
-
-    def _close(self, pull: Open) -> None:
-        """The pull is done with."""
-        if self._open.pop(pull.number, None) is not None:
-            pull.request.frame.free()
+        if pull.out is None and self._open.pop(pull.number, None) is not None:
+            pull.order.frame.free()
 
     def give_up_all(self) -> None:
         """Answer all that is owed: the front ends."""
         for pull in list(self._open.values()):
             if pull.owed:
-                self._answer(pull, Code.FAILED, {})
-
-
+                self._settle(pull)
+                pull.client.errored(pull.stream)
--- a/cometseam/settings.py
+++ b/cometseam/settings.py
@@ -24,11 +24,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Links:
-    """What connections to peers are held to; times in ms."""
+    """What the network code is held to; times in ms."""
 
     streams: int
     connect_within: float
     idle: float
+    longest_cut_off: float  # of any workload: what is stuck for longer helps nobody
+    answer_grace: float  # after a pull's cut-off in which its answer still counts
 
 
 def read_settings(info: Section) -> Settings:
@@ -98,10 +100,12 @@
 
 
 def read_links(info: Section) -> Links:
-    """Decode what connections to peers are held to."""
+    """Decode what the network code is held to."""
     ceilings = info.section("ceilings")
     return Links(
         streams=ceilings.whole("streamsPerConn", low=1),
         connect_within=ceilings.number("dialTimeout", low=1),
         idle=ceilings.number("keepalive", low=1),
+        longest_cut_off=max((grade.number("hardLimit") for grade in info.sections("grades")), default=0.0),
+        answer_grace=info.section("safety").number("graceToAnswer", low=0),
     )
--- a/cometseam/transport/changelog.py
+++ b/cometseam/transport/changelog.py
@@ -1,6 +1,6 @@
 """The link to the change log: a long poll over HTTP/1.1 that starts again after whatever breaks it."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 import h11
@@ -9,7 +9,8 @@
 
 from cometseam.counters import COUNTERS
 from cometseam.protocol import Malformed
-from cometseam.protocol.changelog import MOST, Change, path, read_text
+from cometseam.protocol.changelog import MOST, Change, Unusable, path, read_text
+from cometseam.settings import Names
 
 POLL = 2000  # ms a poll may take where nothing is to be told: a dead link shows well within the 7 s allowed
 PATIENCE = 1000  # ms past that, and for a connection to come up
@@ -20,9 +21,10 @@
     """The actor: it hands on each event once, in order."""
 
     def __init__(
-        self, address: tuple[str, int], last: int, hand_on: Callable[[list[Change]], Awaitable[None]]
+        self, address: tuple[str, int], last: int, names: Names, hand_on: Callable[[list[Change]], None]
     ) -> None:
-        self._address, self._last, self._hand_on = address, last, hand_on
+        self._address, self._last, self._names, self._hand_on = address, last, names, hand_on
+        self._doubted = 0  # the event that was unusable, or missing, when last asked for
         self._wait = FIRST_WAIT
 
     async def run(self) -> None:
@@ -30,8 +32,7 @@
         while True:
             try:
                 await self._poll()
-            except (OSError, TimeoutError, Malformed, h11.ProtocolError, anyio.BrokenResourceError,
-                    anyio.EndOfStream) as error:  # fmt: skip
+            except Exception as error:  # whatever it is, the list held stays and the poll starts again
                 COUNTERS.add("changelog.failed")
                 logger.warning("the change log: {}: {}", type(error).__name__, error)
             await anyio.sleep(self._wait / 1000.0)
@@ -46,8 +47,11 @@
             while True:
                 with anyio.fail_after((POLL + PATIENCE) / 1000.0):
                     text = await self._ask(http, stream)
-                await self._take(read_text(text))
+                changes = read_text(text, self._names)
+                self._take(changes)
                 self._wait = FIRST_WAIT
+                if not changes:  # a log that answers at once with nothing must not keep the front busy
+                    await anyio.sleep(FIRST_WAIT / 1000.0)
                 if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                     return
                 http.start_next_cycle()
@@ -76,16 +80,26 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise Malformed("the connection ended inside an answer")
 
-    async def _take(self, changes: list[Change]) -> None:
+    def _take(self, changes: list[Change]) -> None:
         new: list[Change] = []
-        for change in sorted(changes, key=lambda change: change.seq):
-            if change.seq <= self._last:
-                COUNTERS.add("changelog.repeated")
-                continue
-            if change.seq != self._last + 1:
-                raise Malformed(f"event {change.seq} came after {self._last}")
-            new.append(change)
-            self._last = change.seq
-        if new:
-            COUNTERS.add("changelog.events", len(new))
-            await self._hand_on(new)
+        try:
+            for change in changes:
+                due = self._last + 1
+                if change.seq < due:
+                    COUNTERS.add("changelog.repeated")
+                    continue
+                why = change.why if isinstance(change, Unusable) else f"event {change.seq} instead of it"
+                if (change.seq > due or isinstance(change, Unusable)) and self._doubted != due:
+                    self._doubted = due
+                    raise Malformed(f"event {due}: {why}")
+                # What is no better when asked for again is passed over: later drains and purges count more.
+                self._last = change.seq
+                if isinstance(change, Unusable):
+                    COUNTERS.add("changelog.passed_over")
+                    logger.error("the change log: event {} is passed over: {}", change.seq, why)
+                else:
+                    new.append(change)
+        finally:
+            if new:
+                COUNTERS.add("changelog.events", len(new))
+                self._hand_on(new)
--- a/cometseam/transport/clock.py
+++ b/cometseam/transport/clock.py
@@ -6,6 +6,7 @@
 from itertools import count
 
 import anyio
+from loguru import logger
 
 from cometseam.counters import COUNTERS
 
@@ -64,7 +65,11 @@
             while self._heap and self._heap[0][0] <= now:
                 due, _, timer = heappop(self._heap)
                 COUNTERS.see("timer_late_ms", now - due)
-                timer.run()
+                try:
+                    timer.run()
+                except Exception as error:
+                    COUNTERS.add("timer.exception")
+                    logger.opt(exception=error).error("a timer failed")
             self._waits_for = self._heap[0][0] if self._heap else now + 60000.0
             self._sooner = anyio.Event()
             with anyio.move_on_after(max(self._waits_for - self._clock.now(), 0.0) / 1000.0):
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -7,6 +7,7 @@
 import anyio
 
 from cometseam.transport.buffers import Pool
+from cometseam.transport.clock import Clock
 
 Part = bytes | memoryview
 
@@ -31,12 +32,13 @@
 class Connection:
     """A connected socket. `run` reads until it ends; `close` ends it from any task."""
 
-    def __init__(self, sock: socket.socket, pool: Pool) -> None:
+    def __init__(self, sock: socket.socket, pool: Pool, clock: Clock) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock, self._pool = sock, pool
+        self._sock, self._pool, self._clock = sock, pool, clock
         self._out: deque[Outgoing] = deque()
         self._stuck = anyio.Event()
+        self.stuck_since = 0.0  # when the other side last stopped taking what is written
         self.closed = False
 
     @property
@@ -50,6 +52,8 @@
         if self.closed:
             message.finish(False)
             return message
+        if not self._out:
+            self.stuck_since = self._clock.now()
         self._out.append(message)
         if len(self._out) == 1:
             self._write()
@@ -69,11 +73,13 @@
             try:
                 sent = self._sock.sendmsg(message.parts)
             except (BlockingIOError, InterruptedError):
-                self._stuck.set()
+                if not self._stuck.is_set():
+                    self._stuck.set()
                 return
             except OSError:
                 self.close()
                 return
+            self.stuck_since = self._clock.now()
             message.begun = True
             while message.parts and sent >= len(message.parts[0]):
                 sent -= len(message.parts.pop(0))
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -13,7 +13,15 @@
 from cometseam.counters import COUNTERS, invariant
 from cometseam.mailbox import Mailbox
 from cometseam.protocol import Malformed
-from cometseam.protocol.resp import Answer, Decoder, write_request, write_stop
+from cometseam.protocol.resp import (
+    ALIVE,
+    Answer,
+    Command,
+    Decoder,
+    write_hello,
+    write_request,
+    write_stop,
+)  # fmt: skip
 from cometseam.settings import Links
 from cometseam.transport.buffers import Pool
 from cometseam.transport.clock import Clock, Timer, Timers
@@ -26,7 +34,7 @@
     """How a relay ended."""
 
     ANSWERED = "answered"
-    UNSENT = "unsent"  # given up before it was written whole: it never ran
+    UNSENT = "unsent"  # given up before any of it was written: it never ran
     UNCONNECTED = "unconnected"  # no connection came up, or it broke before the relay was written whole
     BROKEN = "broken"  # the connection broke after it was written whole
     TIMED_OUT = "timed_out"
@@ -39,23 +47,22 @@
 
     pull: int
     relay: int
-    id: str
-    fields: dict[str, str]
+    command: Command
     body: list[memoryview]
     asked_at: float
     due: float
     timer: Timer | None = None
     channel: "Channel | None" = None
     outgoing: Outgoing | None = None
-    written: bool = False
+    written_at: float = 0.0  # 0: not written whole
 
 
 @dataclass(frozen=True, slots=True)
 class GiveUp:
-    """Stop waiting for a relay."""
+    """Stop waiting for a relay, or take it back only if nothing of it is written yet."""
 
-    pull: int
-    relay: int
+    ask: Ask
+    if_unsent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,105 +74,162 @@
     answer: Answer | None = None
 
 
+@dataclass(slots=True)
+class Surroundings:
+    """What all peers share."""
+
+    links: Links
+    pool: Pool
+    clock: Clock
+    timers: Timers
+    connections: int  # to peers, at most
+    peers: int = 1  # listed
+
+    @property
+    def share(self) -> int:
+        """Tell how many connections each peer may have."""
+        return max(self.connections // max(self.peers, 1), 1)
+
+
 class Channel:
     """One connection to the peer, coming up or open."""
 
-    def __init__(self, peer: "Peer") -> None:
-        self.peer = peer
+    def __init__(self, peer: "Peer", around: Surroundings) -> None:
+        self._peer, self._around = peer, around
         self.connection: Connection | None = None
         self.asks: dict[str, Ask] = {}  # by id; one leaves when it has ended
         self.left: OrderedDict[str, None] = OrderedDict()  # past LEFT_BEHIND the oldest leaves
-        self.used_at = 0.0
-        self._decoder = Decoder(peer.pool.room)
+        self.used_at = self._heard_at = 0.0
+        self._doubted = False  # silent: nothing new is sent until it is heard of
+        self._decoder = Decoder(around.pool.room)
+
+    def is_usable(self) -> bool:
+        """Tell whether relays may be sent over it."""
+        return self.connection is not None and not self.connection.closed and not self._doubted
+
+    def load(self, id: str) -> tuple[bool, int] | None:
+        """Tell how busy it is; None: it can't take a relay of this id."""
+        if self.connection is None or not self.is_usable() or len(self.asks) >= self._around.links.streams:
+            return None
+        if id in self.asks or id in self.left:
+            return None  # a late answer to the earlier relay would be taken for this one's
+        return self.connection.is_stuck, len(self.asks)
 
     async def run(self) -> None:
         """Connect, and read answers until the connection ends."""
+        try:
+            sock = await self._connect()
+        except Exception as error:  # whatever it is, no connection came up
+            COUNTERS.add("peer.not_connected")
+            logger.debug("{}: not connected: {}", self._peer.name, error)
+            self._peer.lost(self, came_up=False)
+            return
+        COUNTERS.add("peer.connected")
+        self.connection = Connection(sock, self._around.pool, self._around.clock)
+        self.used_at = self._around.clock.now()
+        try:
+            self._peer.place()
+            await self.connection.run(self._feed)
+        except Exception as error:
+            COUNTERS.add("peer.exception")
+            logger.opt(exception=error).error("{}: a connection failed", self._peer.name)
+        finally:
+            self._decoder.close()
+            self._peer.lost(self, came_up=True)
+
+    async def _connect(self) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
-            with anyio.fail_after(self.peer.links.connect_within / 1000.0):
+            with anyio.fail_after(self._around.links.connect_within / 1000.0):
                 try:
-                    sock.connect(self.peer.address)
+                    sock.connect(self._peer.address)
                 except BlockingIOError:
                     await anyio.wait_writable(sock)
                 if failed := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                     raise OSError(failed, "not connected")
-        except (OSError, TimeoutError):
-            sock.close()
-            COUNTERS.add("peer.not_connected")
-            self.peer.lost(self, came_up=False)
-            return
         except BaseException:
             sock.close()
             raise
-        COUNTERS.add("peer.connected")
-        self.connection = Connection(sock, self.peer.pool)
-        self.used_at = self.peer.clock.now()
-        self.peer.came_up()
-        try:
-            await self.connection.run(self._feed)
-        except Exception as error:
-            COUNTERS.add("peer.exception")
-            logger.opt(exception=error).error("{}: a connection failed", self.peer.name)
-        finally:
-            self._decoder.close()
-            self.peer.lost(self, came_up=True)
+        return sock
 
     def _feed(self, data: memoryview) -> int:
+        self._heard_at, self._doubted = self._around.clock.now(), False
         answers: list[Answer] = []
+        taken, unusable = len(data), ""
         try:
             taken = self._decoder.feed(data, answers)
-            for answer in answers:
-                self._answer(answer)
         except Malformed as error:
+            unusable = str(error)
+        for answer in answers:
+            ask = self.asks.get(answer.id)
+            if ask is not None and answer.copy_holds and not ask.command.held_tag:
+                unusable = "a client's copy that was not told of"
+            elif ask is not None:
+                del self.asks[answer.id]
+                self.used_at = self._heard_at
+                self._peer.end(ask, How.ANSWERED, answer)
+                continue
+            if answer.body is not None:
+                answer.body.free()
+            if answer.id in self.left:
+                COUNTERS.add("peer.late_answer")
+            elif answer.word != ALIVE:
+                unusable = f"an answer to nothing that was asked: {answer.id[:40]}"
+        if unusable:
             COUNTERS.add("peer.bad_input")
-            logger.warning("{} sent what can't be used: {}", self.peer.name, error)
+            logger.warning("{} sent what can't be used: {}", self._peer.name, unusable)
             self.close()
-            return len(data)
+        self._peer.place()
         return taken
 
-    def _answer(self, answer: Answer) -> None:
-        ask = self.asks.pop(answer.id, None)
-        if ask is not None:
-            self.used_at = self.peer.clock.now()
-            self.peer.end(ask, How.ANSWERED, answer)
-            return
-        if answer.body is not None:
-            answer.body.free()
-        if answer.id not in self.left:
-            raise Malformed(f"an answer to nothing that was asked: {answer.id[:40]}")
-        COUNTERS.add("peer.late_answer")
-
     def send(self, ask: Ask) -> None:
         """Write a relay."""
         assert self.connection is not None
-        self.asks[ask.id] = ask
+        now = self.used_at = self._around.clock.now()
+        self.asks[ask.command.id] = ask
         ask.channel = self
-        self.used_at = self.peer.clock.now()
-        ask.fields["ttl"] = str(max(round(ask.due - self.used_at), 1))
         size = sum(len(part) for part in ask.body)
-        head = write_request(ask.id, ask.fields, size)
+        head = write_request(ask.command, ask.due - now, size)
         parts: list[Part] = [head, *ask.body, b"\r\n"] if size else [head + b"\r\n"]
 
         def written(whole: bool) -> None:
-            ask.written = whole
+            ask.written_at = self._around.clock.now() if whole else 0.0
 
         ask.outgoing = self.connection.send(parts, written)
 
+    def take_back(self, ask: Ask) -> bool:
+        """Take a relay back, if nothing of it is written."""
+        if ask.outgoing is None or self.connection is None or not self.connection.withdraw(ask.outgoing):
+            return False
+        self.asks.pop(ask.command.id, None)
+        return True
+
     def give_up(self, ask: Ask) -> None:
-        """Take a relay back where nothing of it was written, else write that it is given up."""
+        """Write that a relay of which something is written is given up."""
         assert self.connection is not None
-        self.asks.pop(ask.id, None)
-        if ask.written:
-            self.left[ask.id] = None
+        id = ask.command.id
+        self.asks.pop(id, None)
+        self._decoder.drop(id)
+        if ask.written_at:
+            self.left[id] = None
             if len(self.left) > LEFT_BEHIND:
                 self.left.popitem(last=False)
-            stop = self.connection.send([write_stop(ask.id)])
-            if self.connection.is_stuck and stop.parts:
-                # A peer that takes no more bytes would hear of it too late; closing tells at once.
-                self.close()
-        elif ask.outgoing is not None and not self.connection.withdraw(ask.outgoing):
-            self.close()
+            self.connection.send([write_stop(id)])
+        if self.connection.is_stuck:
+            self.close()  # a peer that takes no more bytes would hear of it too late; its end tells at once
+        elif ask.written_at > self._heard_at:
+            self._doubt()
+
+    def _doubt(self) -> None:
+        """Ask whether a silent connection works: that of a machine that has vanished stays open."""
+        if self._doubted or self.connection is None:
+            return
+        self._doubted = True
+        COUNTERS.add("peer.doubted")
+        self.connection.send([write_hello("alive")])
+        due = self._around.clock.now() + self._around.links.connect_within
+        self._around.timers.at(due, lambda: self.close() if self._doubted else None)
 
     def close(self) -> None:
         """End the connection, and with it all that is out on it."""
@@ -179,14 +243,9 @@
 
     name: str
     address: tuple[str, int]
-    links: Links
-    most_channels: int
-    pool: Pool
-    clock: Clock
-    timers: Timers
+    around: Surroundings
     report: Callable[[End], None]
     mailbox: Mailbox[Ask | GiveUp]
-    leaving: bool = False
     _channels: list[Channel] = field(default_factory=list)
     _waiting: list[Ask] = field(default_factory=list)  # for a connection; each leaves by its own time-out
     _out: dict[int, Ask] = field(default_factory=dict)  # by pull
@@ -201,8 +260,8 @@
                 try:
                     if isinstance(message, Ask):
                         self._ask(message)
-                    elif (ask := self._out.get(message.pull)) and ask.relay == message.relay:
-                        self._give_up(ask, How.GIVEN_UP)
+                    else:
+                        self._give_up(message)
                 except Exception as error:
                     COUNTERS.add("peer.exception")
                     logger.opt(exception=error).error("{}: a message failed", self.name)
@@ -217,66 +276,70 @@
     def _ask(self, ask: Ask) -> None:
         invariant(ask.pull not in self._out, "one relay of a pull out at a time")
         self._out[ask.pull] = ask
-        ask.timer = self.timers.at(ask.due, lambda: self._give_up(ask, How.TIMED_OUT))
+        ask.timer = self.around.timers.at(ask.due, lambda: self._stop(ask, How.TIMED_OUT))
         self._waiting.append(ask)
-        self._place()
+        self.place()
+
+    def _give_up(self, message: GiveUp) -> None:
+        ask = message.ask
+        if self._out.get(ask.pull) is not ask:
+            return
+        begun = ask.outgoing is not None and (ask.outgoing.begun or ask.written_at)
+        if not (message.if_unsent and begun):
+            self._stop(ask, How.GIVEN_UP)
 
-    def _place(self) -> None:
+    def place(self) -> None:
         """Give what waits to connections; bring another up where all that are open are at work."""
-        now = self.clock.now()
+        if not self._waiting:
+            return
+        now = self.around.clock.now()
         for channel in list(self._channels):
             # A peer closes what is idle: what is written just then would be lost.
-            if channel.connection and not channel.asks and now - channel.used_at > self._idle():
+            if channel.connection and not channel.asks and now - channel.used_at > self._longest_idle():
                 channel.close()
-        left: list[Ask] = []
-        for ask in self._waiting:
-            free = [c for c in self._channels if c.connection and not c.connection.closed
-                    and len(c.asks) < self.links.streams
-                    and ask.id not in c.left and ask.id not in c.asks]  # fmt: skip
-            best = min(free, key=lambda c: (c.connection.is_stuck, len(c.asks)), default=None)  # type: ignore[union-attr]
-            coming = any(c.connection is None for c in self._channels)
-            if not coming and (best is None or best.asks) and len(self._channels) < self.most_channels:
+        waiting, self._waiting = self._waiting, []
+        for ask in waiting:
+            loads = [(load, place) for place, channel in enumerate(self._channels)
+                     if (load := channel.load(ask.command.id)) is not None]  # fmt: skip
+            busy = min(loads)[0][1] > 0 if loads else True
+            coming = any(channel.connection is None for channel in self._channels)
+            if busy and not coming and len(self._channels) < self.around.share:
                 self._open()
-            if best is None:
-                left.append(ask)
+            if loads:
+                self._channels[min(loads)[1]].send(ask)
             else:
-                best.send(ask)
-        self._waiting = left
+                self._waiting.append(ask)
 
-    def _idle(self) -> float:
-        return self.links.idle - self.links.connect_within
+    def _longest_idle(self) -> float:
+        return self.around.links.idle - self.around.links.connect_within
 
     def _open(self) -> None:
         assert self._tasks is not None
-        channel = Channel(self)
+        channel = Channel(self, self.around)
         self._channels.append(channel)
         COUNTERS.see("peer.connections_each", len(self._channels))
         self._tasks.start_soon(channel.run)
 
-    def came_up(self) -> None:
-        """A connection is open."""
-        self._place()
-
     def lost(self, channel: Channel, came_up: bool) -> None:
         """A connection has ended or did not come up."""
-        if channel in self._channels:
-            self._channels.remove(channel)
+        self._channels.remove(channel)
         asks, channel.asks = list(channel.asks.values()), {}
         for ask in asks:
-            self.end(ask, How.BROKEN if ask.written else How.UNCONNECTED)
-        if not came_up and not any(c.connection for c in self._channels):
+            self.end(ask, How.BROKEN if ask.written_at else How.UNCONNECTED)
+        if came_up:
+            self.place()
+        elif not any(channel.is_usable() for channel in self._channels):
             for ask in list(self._waiting):
                 self.end(ask, How.UNCONNECTED)
-        elif self._waiting:
-            self._place()
 
-    def _give_up(self, ask: Ask, how: How) -> None:
-        if ask.channel is not None:
-            written = ask.written
-            ask.channel.give_up(ask)
-            self.end(ask, how if written else How.UNSENT)
-        else:
+    def _stop(self, ask: Ask, how: How) -> None:
+        """Give a relay up: that is written before its end is told, so before the pull's next is sent."""
+        if ask.channel is None or ask.channel.take_back(ask):
             self.end(ask, How.UNSENT)
+        else:
+            whole = bool(ask.written_at)
+            ask.channel.give_up(ask)
+            self.end(ask, how if whole else How.UNCONNECTED)
 
     def end(self, ask: Ask, how: How, answer: Answer | None = None) -> None:
         """Tell that a relay has ended."""
