Test the codecs at any split and the real program on loopback among small stand-ins

Two faults found by the tests: one garbled answer of the change log could make the front jump over events (transport/changelog.py, the gap was held to be confirmed by any second bad answer); a purge of a workload without a fresh time was tested wrongly.

--- a/cometseam/transport/changelog.py
+++ b/cometseam/transport/changelog.py
@@ -24,7 +24,7 @@
         self, address: tuple[str, int], last: int, names: Names, hand_on: Callable[[list[Change]], None]
     ) -> None:
         self._address, self._last, self._names, self._hand_on = address, last, names, hand_on
-        self._doubted = 0  # the event that was unusable, or missing, when last asked for
+        self._doubted = (0, 0)  # the event that was due, and the one that came and could not be taken
         self._wait = FIRST_WAIT
 
     async def run(self) -> None:
@@ -89,8 +89,8 @@
                     COUNTERS.add("changelog.repeated")
                     continue
                 why = change.why if isinstance(change, Unusable) else f"event {change.seq} instead of it"
-                if (change.seq > due or isinstance(change, Unusable)) and self._doubted != due:
-                    self._doubted = due
+                if (change.seq > due or isinstance(change, Unusable)) and self._doubted != (due, change.seq):
+                    self._doubted = (due, change.seq)
                     raise Malformed(f"event {due}: {why}")
                 # What is no better when asked for again is passed over: later drains and purges count more.
                 self._last = change.seq
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -1,8 +1,21 @@
-"""Drives one `Front` by hand and writes down what it decides, one line an action."""
+"""Helpers of the tests: `Drive` drives one `Front` by hand, `World` runs the real program among stand-ins."""
 
-from dataclasses import replace
+import json
+import signal
+import struct
+import sys
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from copy import deepcopy
+from dataclasses import dataclass, field, replace
 from os import environ
 from pathlib import Path
+from subprocess import PIPE
+from typing import Any
+
+import anyio
+from anyio.abc import Process, SocketAttribute, SocketStream, TaskGroup
+from anyio.streams.buffered import BufferedByteReceiveStream
 
 from cometseam import interface as i
 from cometseam.logic import Front
@@ -81,3 +94,288 @@
         if "KEEP_TRACES" in environ:  # after a change that is meant to show
             kept.write_text(text)
         assert text == kept.read_text()
+
+
+SAMPLE: dict[str, Any] = json.loads((Path(__file__).parent.parent / "deploy" / "sample.json").read_text())
+ENDS = (anyio.EndOfStream, anyio.IncompleteRead, anyio.BrokenResourceError, anyio.ClosedResourceError)
+PATIENCE = 20.0  # s that a test may wait for anything; none waits for time to pass
+
+
+@dataclass
+class Asked:
+    """A command that reached a stand-in, and the connection it came over."""
+
+    cache: "Cache"
+    stream: SocketStream
+    parts: list[str]
+    body: bytes = b""
+
+    @property
+    def word(self) -> str:
+        return self.parts[0]
+
+    @property
+    def id(self) -> str:
+        return self.parts[1]
+
+    @property
+    def fields(self) -> dict[str, str]:
+        return dict(item.split("=", 1) for item in self.parts[2].split(","))
+
+    async def answer(self, word: str, fields: str = "-", body: bytes = b"") -> None:
+        await self.stream.send(resp(self.id, word, fields, body))
+
+
+def resp(*parts: str | bytes) -> bytes:
+    """A RESP array."""
+    raws = [part.encode() if isinstance(part, str) else part for part in parts]
+    return b"*%d\r\n" % len(raws) + b"".join(b"$%d\r\n%b\r\n" % (len(raw), raw) for raw in raws)
+
+
+class News:
+    """Wakes those that wait for something to be so."""
+
+    def __init__(self) -> None:
+        self._event = anyio.Event()
+
+    def tell(self) -> None:
+        self._event.set()
+
+    async def until(self, met: Callable[[], Any]) -> None:
+        while not met():
+            if self._event.is_set():
+                self._event = anyio.Event()
+            await self._event.wait()
+
+
+class Cache:
+    """A stand-in for a cache: it writes down what it is asked, and answers what a test tells it to."""
+
+    def __init__(self, name: str, news: News) -> None:
+        self.name, self.news = name, news
+        self.asked: list[Asked] = []
+        self.seen = self.doubted = 0
+
+    async def serve(self, stream: SocketStream) -> None:
+        reader = BufferedByteReceiveStream(stream)
+        try:
+            while True:
+                count = int((await reader.receive_until(b"\r\n", 20))[1:])
+                raws = []
+                for _ in range(count):
+                    size = int((await reader.receive_until(b"\r\n", 20))[1:])
+                    raws.append((await reader.receive_exactly(size + 2))[:-2])
+                asked = Asked(self, stream, [raw.decode() for raw in raws[:3]], b"".join(raws[3:]))
+                if asked.word == "HELO":
+                    self.doubted += 1  # silent, as a machine that has vanished is
+                    continue
+                self.asked.append(asked)
+                self.news.tell()
+        except ENDS:
+            await stream.aclose()
+
+    async def next(self) -> Asked:
+        await self.news.until(lambda: len(self.asked) > self.seen)
+        self.seen += 1
+        return self.asked[self.seen - 1]
+
+
+@dataclass
+class Got:
+    """A frame that came from the front."""
+
+    type: int
+    stream: int
+    code: int = 0
+    fields: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+def frame(kind: int, stream: int = 0, payload: bytes = b"") -> bytes:
+    """A client's frame."""
+    return struct.pack(">IBI", 5 + len(payload), kind, stream) + payload
+
+
+def fields_of(values: dict[str, str]) -> bytes:
+    """Fields as clients write them."""
+    raws = [(name.encode(), value.encode()) for name, value in values.items()]
+    return bytes([len(raws)]) + b"".join(
+        bytes([len(name)]) + name + struct.pack(">H", len(value)) + value for name, value in raws
+    )
+
+
+def order(stream: int, body: bytes = b"", **changed: str | None) -> bytes:
+    """A client's request; a field changed to None is left out."""
+    values: dict[str, str | None] = {
+        "verb": "maps", "txn": f"{stream:016x}", "limit": "2500", "item": "7f3a9c21e0b4d655", "nth": "3",
+        "batch": "17", "ram": "41.5", **changed,
+    }  # fmt: skip
+    told = {name: value for name, value in values.items() if value is not None}
+    return frame(16, stream, fields_of(told) + body)
+
+
+class Caller:
+    """A client's connection."""
+
+    def __init__(self, stream: SocketStream) -> None:
+        self.stream = stream
+        self._reader = BufferedByteReceiveStream(stream)
+
+    async def send(self, *raws: bytes) -> None:
+        await self.stream.send(b"".join(raws))
+
+    async def next(self) -> Got:
+        length, kind, stream = struct.unpack(">IBI", await self._reader.receive_exactly(9))
+        payload = await self._reader.receive_exactly(length - 5) if length > 5 else b""
+        if not payload:
+            return Got(kind, stream)
+        values, at = {}, 2
+        for _ in range(payload[1]):
+            end = at + 1 + payload[at]
+            size = int.from_bytes(payload[end : end + 2], "big")
+            values[payload[at + 1 : end].decode()] = payload[end + 2 : end + 2 + size].decode()
+            at = end + 2 + size
+        return Got(kind, stream, payload[0], values, payload[at:])
+
+    async def ended(self) -> bool:
+        """Wait for the end of the connection; False where a frame comes first."""
+        try:
+            await self.next()
+        except (anyio.IncompleteRead, anyio.BrokenResourceError):
+            return True
+        return False
+
+
+class World:
+    """The program as a process, with stand-ins for all that it talks to."""
+
+    def __init__(self) -> None:
+        self.config = deepcopy(SAMPLE)
+        self.caches: dict[str, Cache] = {}
+        self.log: list[dict[str, Any]] = []  # the events after those of the configuration
+        self.broken: list[bytes] = []  # what the change log answers instead, once each
+        self.polled: list[int] = []  # the number that each poll asked from
+        self.news = News()
+        self.process: Process
+        self._tasks: TaskGroup
+        self.output = b""
+
+    async def listen(self, serve: Callable[[SocketStream], Any]) -> str:
+        """Listen at a free port of the loopback address."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self._tasks.start_soon(listener.serve, serve)
+        return f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+
+    async def add(self, name: str, like: str | None = None) -> Cache:
+        """Stand in for a cache of the sample, or for one more like it."""
+        lines = self.config["known"]["results"][0]["fleet"]["endpoints"]
+        if like is not None:
+            lines.append({**next(line for line in lines if line["name"] == like), "name": name})
+        line = next(line for line in lines if line["name"] == name)
+        cache = self.caches[name] = Cache(name, self.news)
+        line["address"] = await self.listen(cache.serve)
+        return cache
+
+    def line(self, name: str, **changed: Any) -> dict[str, Any]:
+        """A cache's line in the list, changed."""
+        lines = self.config["known"]["results"][0]["fleet"]["endpoints"]
+        return {**next(line for line in lines if line["name"] == name), **changed}
+
+    def tell(self, **event: Any) -> None:
+        """Add an event to the change log."""
+        self.log.append({"seq": len(self.log) + 2, **event})
+        self.news.tell()
+
+    async def polled_from(self, since: int) -> None:
+        """Wait until the front has asked for what comes after an event, so has the event."""
+        await self.news.until(lambda: any(asked >= since for asked in self.polled))
+
+    async def _change_log(self, stream: SocketStream) -> None:
+        reader = BufferedByteReceiveStream(stream)
+        try:
+            while True:
+                head = (await reader.receive_until(b"\r\n\r\n", 4096)).decode()
+                since = int(head.split("since=")[1].split("&")[0])
+                self.polled.append(since)
+                self.news.tell()
+                await self.news.until(lambda: self.broken or len(self.log) + 1 > since)  # noqa: B023
+                new = [event for event in self.log if event["seq"] > since]
+                told = json.dumps({"seq": len(self.log) + 1, "results": new}).encode()
+                text = self.broken.pop(0) if self.broken else told
+                await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text))
+        except ENDS:
+            await stream.aclose()
+
+    async def break_log(self, *texts: bytes) -> None:
+        """Have the change log answer these texts first."""
+        self.broken += texts
+        self.news.tell()
+        await self.news.until(lambda: not self.broken)
+
+    async def first(self) -> Asked:
+        """Wait until one of the caches is asked something new."""
+        await self.news.until(lambda: any(len(cache.asked) > cache.seen for cache in self.caches.values()))
+        return await next(c for c in self.caches.values() if len(c.asked) > c.seen).next()
+
+    async def start(self, folder: Path) -> None:
+        """Start the program and wait until it is ready."""
+        self.config["changelog"] = await self.listen(self._change_log)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.config["listen"] = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+        await listener.aclose()
+        path = folder / "config.json"
+        path.write_text(json.dumps(self.config))
+        self.process = await anyio.open_process(
+            [sys.executable, "-m", "cometseam"], env={**environ, "ROUTER_CONFIG": str(path)}, stderr=PIPE
+        )
+        self._tasks.start_soon(self._read_log)
+        await self.logged(b"listens")
+
+    async def _read_log(self) -> None:
+        assert self.process.stderr is not None
+        async for text in self.process.stderr:
+            self.output += text
+            self.news.tell()
+
+    async def logged(self, text: bytes) -> None:
+        """Wait until the program's log holds this and the line's end."""
+        await self.news.until(lambda: b"\n" in self.output.partition(text)[2])
+
+    async def call(self) -> Caller:
+        """Connect as a client."""
+        host, port = self.config["listen"].split(":")
+        return Caller(await anyio.connect_tcp(host, int(port)))
+
+    async def stop(self) -> dict[str, float]:
+        """End the program by SIGTERM, and return its counters."""
+        self.process.send_signal(signal.SIGTERM)
+        return await self.end()
+
+    async def end(self) -> dict[str, float]:
+        """Wait for the program's end, and return its counters."""
+        assert await self.process.wait() == 0, self.output.decode()
+        await self.logged(b"at exit")
+        told = self.output.decode().split("counters (at exit): ")[1].split()
+        return {name: float(value) for name, _, value in (item.partition("=") for item in told)}
+
+
+@asynccontextmanager
+async def world(folder: Path, *more: str, **limits: int) -> AsyncIterator[World]:
+    """The program among stand-ins for the sample's caches, and for more like its first."""
+    here = World()
+    here.config["limits"].update(limits)
+    with anyio.fail_after(PATIENCE):
+        async with anyio.create_task_group() as tasks:
+            here._tasks = tasks
+            for name in ("cache-1", "parent-1", "origin-1"):
+                await here.add(name)
+            for name in more:
+                await here.add(name, like="cache-1")
+            await here.start(folder)
+            try:
+                yield here
+            finally:
+                if here.process.returncode is None:
+                    here.process.kill()
+                await here.process.wait()
+                tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,292 @@
+"""The real program on loopback among stand-ins written for these tests."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.drive import SAMPLE, Got, fields_of, frame, order, world
+
+pytestmark = pytest.mark.anyio
+TAG, OBJECT = "4be0c1927d55a6f3", "7f3a9c21e0b4d655"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def test_a_pull_is_served_whole_whatever_way_its_bytes_come(tmp_path: Path) -> None:
+    body = os.urandom(200_000)
+    async with world(tmp_path) as here:
+        caller = await here.call()
+        await caller.send(frame(32, 7))
+        assert await caller.next() == Got(33, 7, 1)
+        for byte in order(1, body=b"as it is", got=TAG):
+            await caller.send(bytes([byte]))
+        look = await here.caches["cache-1"].next()
+        assert look.parts[:2] == ["REQ", f"{1:016x}"] and look.body == b"as it is"
+        told = look.fields
+        assert 0 < int(told.pop("ttl")) <= 2500
+        assert told == {"lane": "maps", "name": OBJECT, "piece": "3", "opts": "ride", "known": TAG}
+        await look.answer("LACK", "rep=util:0.5;x1:0.1")
+        fill = await here.caches["cache-1"].next()
+        assert fill.fields["via"] == "parent-1" and fill.fields["tier"] == "1"
+        await fill.answer("DONE", f"tag={TAG},minted=1,why=fetched,lag=3.5", body)
+        assert await caller.next() == Got(17, 1, 1, {}, body)
+        await caller.send(order(2, got=TAG))
+        await (await here.caches["cache-1"].next()).answer("KEEP", f"tag={TAG},minted=1,why=cached")
+        assert await caller.next() == Got(17, 2, 1, {"ok304": "1"})
+        counts = await here.stop()
+        assert counts["answer.served"] == 2 and counts["relay.lack"] == 1 and counts["relay.done"] == 1
+
+
+async def test_answers_come_in_any_order_and_joined_requests_are_told_apart(tmp_path: Path) -> None:
+    async with world(tmp_path) as here:
+        caller = await here.call()
+        await caller.send(order(1), order(2, item="00000000000000aa"), order(3, item="00000000000000bb"))
+        asked = [await here.caches["cache-1"].next() for _ in range(3)]
+        for look in reversed(asked):
+            await look.answer("DONE", f"tag={TAG},minted=1,why=cached", look.id.encode())
+            assert (await caller.next()).body == look.id.encode()
+
+
+@pytest.mark.parametrize(
+    ("raw", "stream", "reason"),
+    [
+        (order(1, txn=None), 1, "txn"),
+        (order(1, item="xyz"), 1, "item"),
+        (order(1, limit="soon"), 1, "limit"),
+        (order(1, limit="0"), 1, "limit"),
+        (order(1, nth="-1"), 1, "nth"),
+        (order(1, batch="300"), 1, "batch"),
+        (order(1, got="short"), 1, "got"),
+        (order(1, verb="unheard"), 1, "verb"),
+        (frame(16, 1, fields_of({"verb": "maps"})[:-2]), 1, "fields"),
+        (frame(16, 0, b"\0"), 0, "new"),
+        (frame(99, 5), 0, "99"),
+    ],
+)
+async def test_what_a_client_gets_wrong_is_told_and_reaches_no_cache(
+    tmp_path: Path, raw: bytes, stream: int, reason: str
+) -> None:
+    async with world(tmp_path) as here:
+        caller = await here.call()
+        await caller.send(raw)
+        got = await caller.next()
+        assert (got.type, got.stream, got.code) == (17, stream, 3) and reason in got.fields["reason"]
+        await caller.send(order(2))
+        await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", b"fine")
+        assert (await caller.next()).body == b"fine"
+        assert [asked.id for asked in here.caches["cache-1"].asked] == [f"{2:016x}"]
+
+
+async def test_lost_framing_ends_a_connection_after_what_is_open_on_it(tmp_path: Path) -> None:
+    async with world(tmp_path) as here:
+        caller = await here.call()
+        await caller.send(order(1), b"\xff\xff\xff\xff\0\0\0\0\0")
+        got = await caller.next()
+        assert (got.stream, got.code) == (0, 3)
+        await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", b"still")
+        assert (await caller.next()).body == b"still"
+        assert await caller.ended()
+
+
+async def test_no_more_than_32_are_open_and_no_stream_is_used_twice(tmp_path: Path) -> None:
+    async with world(tmp_path) as here:
+        caller = await here.call()
+        await caller.send(*(order(stream) for stream in range(1, 34)), order(5))
+        over, twice = await caller.next(), await caller.next()
+        assert (over.stream, over.code) == (33, 3) and "many" in over.fields["reason"]
+        assert (twice.stream, twice.code) == (0, 3)
+        for _ in range(32):
+            await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", b"x")
+        assert sorted([(await caller.next()).stream for _ in range(32)]) == list(range(1, 33))
+
+
+async def test_a_silent_cache_is_told_to_stop_before_another_is_asked(tmp_path: Path) -> None:
+    async with world(tmp_path, "cache-2") as here:
+        caller = await here.call()
+        await caller.send(order(1))
+        first = await here.first()
+        other = here.caches["cache-2" if first.cache.name == "cache-1" else "cache-1"]
+        stop = await first.cache.next()
+        assert stop.parts == ["STOP", first.id] and not other.asked
+        assert first.cache.doubted == 1  # a connection that stays silent is not used again
+        second = await other.next()
+        await first.answer("DONE", f"tag={TAG},minted=1", b"late")
+        await second.answer("DONE", f"tag={TAG},minted=1", b"in time")
+        assert (await caller.next()).body == b"in time"
+        await caller.send(frame(32, 1))
+        assert (await caller.next()).type == 33  # and nothing of the late answer before it
+
+
+async def test_a_connection_that_breaks_or_lies_ends_its_relays_and_the_pull_goes_on(tmp_path: Path) -> None:
+    async with world(tmp_path, "cache-2", "cache-3") as here:
+        caller = await here.call()
+        await caller.send(order(1))
+        first = await here.first()
+        await first.stream.send(b"$nonsense\r\n")
+        second = await here.first()
+        assert second.cache is not first.cache
+        await second.stream.aclose()
+        got = await caller.next()  # two relays may have run: the module is out of credit, and sheds at once
+        assert (got.stream, got.code) == (1, 2) and int(got.fields["later"]) == 250
+        counts = await here.stop()
+        assert counts["relay.broken"] == 2 and counts["peer.bad_input"] == 1
+
+
+async def test_a_cache_that_refuses_connections_costs_no_pull(tmp_path: Path) -> None:
+    async with world(tmp_path, "cache-2") as here:
+        gone = here.line("cache-1", address="127.0.0.1:1")
+        here.tell(fleet={"index": 2, "snapshot": False, "endpoints": [gone]})
+        await here.polled_from(2)
+        caller = await here.call()
+        for stream in range(1, 9):
+            await caller.send(order(stream, item=f"{stream:016x}"))
+            await (await here.caches["cache-2"].next()).answer("DONE", f"tag={TAG},minted=1", b"x")
+            assert (await caller.next()).code == 1
+        counts = await here.stop()
+        assert counts["relay.unconnected"] >= 1 and counts["answer.served"] == 8
+
+
+async def test_a_client_that_hangs_up_has_its_relay_stopped(tmp_path: Path) -> None:
+    async with world(tmp_path) as here:
+        caller = await here.call()
+        await caller.send(order(1))
+        asked = await here.caches["cache-1"].next()
+        await caller.send(frame(18, 1))
+        assert (await here.caches["cache-1"].next()).parts == ["STOP", asked.id]
+        await caller.send(order(2))
+        second = await here.caches["cache-1"].next()
+        await caller.stream.aclose()
+        assert (await here.caches["cache-1"].next()).parts == ["STOP", second.id]
+
+
+async def test_a_purge_and_a_drain_reach_the_next_pull(tmp_path: Path) -> None:
+    async with world(tmp_path, "cache-2") as here:
+        drained = here.line("cache-1", status="leaving")
+        here.tell(invalidate={"object": OBJECT, "time": 1})
+        here.tell(invalidate={"bucket": 18, "time": 1})
+        here.tell(fleet={"index": 2, "snapshot": False, "endpoints": [drained]})
+        await here.polled_from(4)
+        caller = await here.call()
+        for stream, batch in ((1, "17"), (2, "18")):
+            item = f"{int(OBJECT, 16) + stream - 1:016x}"
+            await caller.send(order(stream, verb="grids", item=item, batch=batch))
+            asked = await here.caches["cache-2"].next()
+            assert int(asked.fields["fresh"]) > 1_000_000_000_000  # since 1970: purged at its first ms
+        assert not here.caches["cache-1"].asked
+
+
+async def test_what_the_change_log_gets_wrong_leaves_the_list_and_comes_right(tmp_path: Path) -> None:
+    async with world(tmp_path, "cache-2") as here:
+        odd = here.line("cache-1", zone="nowhere")
+        strange = {"seq": 2, "fleet": {"snapshot": False, "endpoints": [odd]}}
+        nameless = {key: value for key, value in here.line("cache-1").items() if key != "name"}
+        bad = [
+            b"{", b"[]", b'{"seq":9}',
+            json.dumps({"seq": 7, "results": [{"seq": 7, "invalidate": {"bucket": 1, "time": 1}}]}).encode(),
+            json.dumps({"seq": 2, "results": [strange]}).encode(),
+        ]  # fmt: skip
+        await here.break_log(*bad)
+        here.tell(fleet={"snapshot": False, "endpoints": [nameless]})  # never usable: passed over
+        here.tell(fleet={"snapshot": False, "endpoints": [here.line("cache-1", status="left")]})
+        await here.polled_from(3)
+        caller = await here.call()
+        for stream in range(1, 9):
+            await caller.send(order(stream, item=f"{stream:016x}"))
+            await (await here.caches["cache-2"].next()).answer("DONE", f"tag={TAG},minted=1", b"x")
+            assert (await caller.next()).code == 1
+        counts = await here.stop()
+        assert counts["changelog.failed"] >= len(bad) and counts["changelog.passed_over"] == 1
+
+
+async def test_sigterm_answers_what_is_open_and_what_still_comes(tmp_path: Path) -> None:
+    async with world(tmp_path) as here:
+        caller = await here.call()
+        await caller.send(order(1))
+        asked = await here.caches["cache-1"].next()
+        here.process.send_signal(signal.SIGTERM)
+        assert (await caller.next()).type == 48
+        late = await here.call()
+        assert (await late.next()).type == 48
+        await late.send(frame(32, 1), order(2))
+        assert await late.next() == Got(33, 1, 2)
+        await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", b"two")
+        assert (await late.next()).body == b"two"
+        await asked.answer("DONE", f"tag={TAG},minted=1", b"one")
+        assert (await caller.next()).body == b"one"
+        counts = await here.end()
+        assert counts["answer.served"] == 2
+
+
+async def test_a_client_that_does_not_read_holds_up_only_itself(tmp_path: Path) -> None:
+    body = bytes(240_000)
+    async with world(tmp_path) as here:
+        slow, quick = await here.call(), await here.call()
+        await slow.send(*(order(stream, item=f"{stream:016x}") for stream in range(1, 33)))
+        for _ in range(32):
+            await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", body)
+        await quick.send(order(1))
+        await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", body)
+        assert (await quick.next()).body == body
+        for _ in range(32):
+            assert (await slow.next()).body == body
+        counts = await here.stop()
+        assert counts["memory_mb"] < 192 and counts["answer.served"] == 33
+
+
+async def test_no_more_connections_are_taken_than_the_limit_allows(tmp_path: Path) -> None:
+    async with world(tmp_path, sockets=36) as here:
+        callers = [await here.call() for _ in range(14)]  # a third of 36 are served, the others wait
+        for caller in callers:
+            await caller.send(frame(32, 1))
+        for caller in callers[:12]:
+            assert (await caller.next()).code == 1
+        await callers[0].stream.aclose()
+        assert (await callers[12].next()).code == 1
+        counts = await here.stop()
+        assert counts["client.connections"] == 12 and counts["descriptors"] <= 36
+
+
+async def test_counters_are_printed_on_request(tmp_path: Path) -> None:
+    async with world(tmp_path) as here:
+        here.process.send_signal(signal.SIGUSR1)
+        await here.logged(b"counters (asked)")
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        (("listen",), "nowhere", "listen"),
+        (("seed",), "xyz", "seed"),
+        (("limits", "sockets"), "many", "limits.sockets"),
+        (("limits", "memory_mb"), 1, "limits.memory_mb"),
+        (("settings", "grades"), 5, "settings.grades"),
+        (("settings", "safety"), {}, "settings.safety.coldFrom"),
+        (("settings", "ceilings", "dialTimeout"), True, "settings.ceilings.dialTimeout"),
+        (("known",), {"seq": 1, "results": [{"seq": 1, "fleet": {}}]}, "known.results[0].fleet.endpoints"),
+        (("known",), None, "known"),
+        ((), "{", "ROUTER_CONFIG"),
+    ],
+)
+async def test_a_faulty_configuration_ends_it_with_one_line_that_names_the_key(
+    tmp_path: Path, path: tuple[str, ...], value: Any, named: str
+) -> None:
+    config = json.loads(json.dumps(SAMPLE))
+    at = config
+    for key in path[:-1]:
+        at = at[key]
+    if path:
+        at[path[-1]] = value
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(config) if path else value)
+    run = subprocess.run([sys.executable, "-m", "cometseam"], env={**os.environ, "ROUTER_CONFIG": str(file)},
+                         capture_output=True, text=True, timeout=20)  # fmt: skip
+    assert run.returncode == 2 and run.stderr.count("\n") == 1 and f" {named}: " in run.stderr
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,141 @@
+"""The codecs alone: whatever way a stream is split it reads the same, and what is malformed is refused."""
+
+import pytest
+
+from cometseam.interface import Outcome, Remark
+from cometseam.protocol import Malformed, changelog, frames, resp
+from cometseam.reading import Faulty, Section
+from cometseam.settings import Names
+from cometseam.transport.buffers import SIZE, Chain, Pool
+from tests.drive import SAMPLE, frame, order
+from tests.drive import resp as array
+
+TAG = "4be0c1927d55a6f3"
+BIG = bytes(range(256)) * 300
+Decoder = frames.Decoder | resp.Decoder
+
+
+def feed(decoder: Decoder, raw: bytes, size: int) -> list[frames.Frame | resp.Answer]:
+    """Feed a stream in pieces of a size."""
+    out: list[frames.Frame | resp.Answer] = []
+    for at in range(0, len(raw), size):
+        piece = memoryview(raw)[at : at + size]
+        assert decoder.feed(piece, out) == len(piece)  # type: ignore[arg-type]
+    return out
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 64, 1000, SIZE, 1 << 20])
+def test_frames_read_the_same_however_they_are_split(size: int) -> None:
+    pool = Pool(1 << 22)
+    raw = order(1) + frame(18, 1) + order(2, BIG, got=TAG) + frame(32, 3) + order(4, b"small")
+    got = feed(frames.Decoder(pool.room), raw, size)
+    assert [(item.type, item.stream) for item in got if isinstance(item, frames.Frame)] == [
+        (16, 1), (18, 1), (16, 2), (32, 3), (16, 4),
+    ]  # fmt: skip
+    for item, body in zip((got[0], got[2], got[4]), (b"", BIG, b"small"), strict=True):
+        assert isinstance(item, frames.Frame)
+        read = frames.read_order(item)
+        assert b"".join(read.body()) == body and read.held_tag == (TAG if body is BIG else "")
+        assert (read.workload, read.object, read.part, read.group) == ("maps", "7f3a9c21e0b4d655", 3, 17)
+        item.free()
+    assert pool.out == 0
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 64, 1000, SIZE, 1 << 20])
+def test_answers_read_the_same_however_they_are_split(size: int) -> None:
+    pool = Pool(1 << 22)
+    raw = array("a1", "LACK", "why=merged,rep=util:0.5;x1:-0.1", b"") + array("alive", "FIT")
+    raw += array("a2", "DONE", f"tag={TAG},minted=1,why=fetched,lag=2.5", BIG) + array("a3", "WAIT", "-")
+    got = feed(resp.Decoder(pool.room), raw, size)
+    lack, fit, done, wait = (item for item in got if isinstance(item, resp.Answer))
+    assert (lack.id, lack.outcome, lack.remark) == ("a1", Outcome.MISS, Remark.JOINED)
+    assert lack.load == {"util": 0.5, "x1": -0.1} and fit.word == resp.ALIVE
+    assert (done.outcome, done.remark, done.waited) == (Outcome.OK, Remark.FILLED, 2.5)
+    assert done.body is not None and b"".join(done.body.views()) == BIG
+    assert wait.outcome is Outcome.FULL and wait.body is None
+    done.body.free()
+    assert pool.out == 0
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"$3\r\nabc\r\n", b"*x\r\n", b"*1\r\n$1\r\na\r\n", b"*5\r\n", b"*4\r\n$99999999999999",
+        b"*4\r\n$-1\r\n", array(b"\xff", "LACK", "-"),
+        array("a", "HUH", "-", b""), array("a", "DONE", "-"), array("a", "LACK", "why", b""),
+        array("a", "LACK", "lag=soon", b""), array("a", "LACK", "rep=util:nan", b""),
+        array("a", "DONE", "-", b"body")[:-2] + b"xx", b"*4\r\n$1\r\naxx", b"*4\r\n$9000\r\n",
+        b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$900000\r\n", b"*4\r\n$8100\r\n" + b"a" * 8200,
+    ],
+)  # fmt: skip
+def test_answers_that_cannot_be_read_are_refused_and_keep_nothing(raw: bytes) -> None:
+    pool = Pool(1 << 22)
+    decoder = resp.Decoder(pool.room)
+    with pytest.raises(Malformed):
+        feed(decoder, raw, 5)
+    decoder.close()
+    assert pool.out == 0
+
+
+@pytest.mark.parametrize("length", [0, 4, 262_145, 0xFFFFFFFF])
+def test_frames_of_a_length_out_of_bounds_are_refused(length: int) -> None:
+    with pytest.raises(Malformed):
+        feed(frames.Decoder(Pool(1 << 22).room), length.to_bytes(4, "big") + bytes(5), 3)
+
+
+def test_where_no_room_is_left_a_decoder_takes_no_more_and_goes_on_later() -> None:
+    pool = Pool(1)  # the least: two of the largest messages
+    first, second = pool.room(8 * SIZE), pool.room(8 * SIZE)
+    assert isinstance(first, Chain) and isinstance(second, Chain) and pool.room(1) is None
+    raw = array("a", "DONE", "-", BIG)
+    decoder, out = resp.Decoder(pool.room), list[resp.Answer]()
+    taken = decoder.feed(memoryview(raw), out)
+    assert taken < 100 and decoder.feed(memoryview(raw)[taken:], out) == 0 and not out
+    first.free()
+    assert decoder.feed(memoryview(raw)[taken:], out) == len(raw) - taken
+    assert out[0].body is not None and b"".join(out[0].body.views()) == BIG
+    with pytest.raises(AssertionError):
+        first.free()
+
+
+def test_an_answer_that_nobody_wants_any_more_is_passed_over() -> None:
+    pool = Pool(1 << 22)
+    raw, out = array("a", "DONE", "-", BIG) + array("b", "PAST", "-", b""), list[resp.Answer]()
+    decoder = resp.Decoder(pool.room)
+    decoder.feed(memoryview(raw)[:1000], out)
+    assert pool.out == 3
+    decoder.drop("a")
+    assert pool.out == 0
+    decoder.feed(memoryview(raw)[1000:], out)
+    assert [(answer.id, answer.outcome) for answer in out] == [("a", Outcome.OK), ("b", Outcome.MOOT)]
+
+
+def test_a_relay_is_written_as_the_protocol_says() -> None:
+    command = resp.Command("9b", "maps", "7f", 3, "parent-1", 2, 1999.9, True, True, True, True, TAG)
+    fields = "lane=maps,name=7f,piece=3,ttl=1500,via=parent-1,tier=2,fresh=1999,"
+    fields += f"opts=ride+have-only+through+update,known={TAG}"
+    assert resp.write_request(command, 1500.4, 4) + b"body\r\n" == array("REQ", "9b", fields, b"body")
+    bare = resp.Command("9b", "maps", "7f", 0, "", 0, 0.0, False, False, False, False, "")
+    least = array("REQ", "9b", "lane=maps,name=7f,piece=0,ttl=1", b"")
+    assert resp.write_request(bare, 0.2, 0) + b"\r\n" == least
+    assert resp.write_stop("9b") == array("STOP", "9b") and resp.write_hello("t") == array("HELO", "t")
+
+
+def test_events_of_the_change_log_are_read_each_for_itself() -> None:
+    names = Names(("maps",), ("north", "middle", "edge-1"), ("standard", "parent", "origin"), ())
+    line = SAMPLE["known"]["results"][0]["fleet"]["endpoints"][0]
+
+    def fleet(seq: int, **changed: object) -> dict[str, object]:
+        return {"seq": seq, "fleet": {"snapshot": False, "endpoints": [{**line, **changed}]}}
+
+    odd = [fleet(2, zone="x"), fleet(3, type="x"), fleet(4, status="x"), fleet(5, address="x"),
+           fleet(6, weight="x"), {"seq": 7, "invalidate": {"object": "x", "time": 1}},
+           {"seq": 8, "invalidate": {"time": 1}}]  # fmt: skip
+    good = [{"seq": 9, "invalidate": {"bucket": 17, "time": 5}}, fleet(1)]
+    told = changelog.read_changes(Section({"seq": 9, "results": [*odd, *good]}), names)
+    assert [change.seq for change in told] == list(range(1, 10))
+    assert isinstance(told[0], changelog.Listing) and (told[0].lines[0].zone, told[0].lines[0].kind) == (2, 0)
+    assert all(isinstance(change, changelog.Unusable) for change in told[1:8])
+    assert told[8] == changelog.Purge(9, 0, 17, 5.0)
+    with pytest.raises(Faulty, match="results"):
+        changelog.read_changes(Section({"seq": 1}), names)
