--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -21,6 +21,7 @@
 from cometseam.routing import translate
 from cometseam.settings import Names
 from cometseam.transport.client import Client
+from cometseam.transport.clock import Timer
 from cometseam.transport.peer import Ask, End, GiveUp, How, Peer, Surroundings
 
 
@@ -37,6 +38,7 @@
     owed: bool = True
     relays: int = 0
     out: "Out | None" = None
+    timer: Timer | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,7 +167,8 @@
         COUNTERS.add("pull.taken")
         COUNTERS.see("pull.open", len(self._open))
         # Guards the first rule against faults of this program: within the grace, whatever else happens.
-        self._around.timers.at(cut_off + self._around.links.answer_grace, lambda: self._overdue(pull))
+        due = cut_off + self._around.links.answer_grace
+        pull.timer = self._around.timers.at(due, lambda: self._overdue(pull))
         self._decide(event)
 
     def _overdue(self, pull: Open) -> None:
@@ -308,6 +311,8 @@
         if pull.owed:
             COUNTERS.see("answer_past_cut_off_ms", self._around.clock.now() - pull.cut_off)
         pull.owed = False
+        if pull.timer is not None:
+            pull.timer.cancel()
         self._by_stream.pop((pull.client, pull.stream), None)
         if pull.out is None and self._open.pop(pull.number, None) is not None:
             pull.order.frame.free()
--- a/cometseam/transport/clock.py
+++ b/cometseam/transport/clock.py
@@ -62,9 +62,10 @@
         """Do what comes due, for ever."""
         while True:
             now = self._clock.now()
-            while self._heap and self._heap[0][0] <= now:
+            while self._heap and (self._heap[0][0] <= now or self._heap[0][2].run is _nothing):
                 due, _, timer = heappop(self._heap)
-                COUNTERS.see("timer_late_ms", now - due)
+                if timer.run is not _nothing:
+                    COUNTERS.see("timer_late_ms", now - due)
                 try:
                     timer.run()
                 except Exception as error:
