--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -301,7 +301,7 @@
         for ask in waiting:
             loads = [(load, place) for place, channel in enumerate(self._channels)
                      if (load := channel.load(ask.command.id)) is not None]  # fmt: skip
-            busy = min(loads)[0][1] > 0 if loads else True
+            busy = min(loads)[0] >= (False, self.around.links.streams // 8) if loads else True
             coming = any(channel.connection is None for channel in self._channels)
             if busy and not coming and len(self._channels) < self.around.share:
                 self._open()
