--- a/cometseam/__main__.py
+++ b/cometseam/__main__.py
@@ -19,7 +19,7 @@
         print(f"cometseam: configuration: {error}", file=sys.stderr)
         return 2
     try:
-        anyio.run(run, config)
+        anyio.run(run, config, backend_options={"use_uvloop": True})
     except OSError as error:
         print(f"cometseam: {config.listen[0]}:{config.listen[1]}: {error.strerror}", file=sys.stderr)
         return 1
