Make room by ending clients that do not read; test the actors in one process

Where buffers run short, clients that have taken nothing for as long as a peer may take to connect are ended; before, they held the buffers for up to the longest cut-off and everybody waited.

--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -31,6 +31,8 @@
     front = Front(config.seed, config.settings)
     router = Router(front, config.names, config.clients * MOST_OPEN, around)
     listener = Listener(config.listen, config.clients, pool, clock, router)
+    # Where buffers run short, a client that takes nothing for as long as a peer may take to connect goes.
+    pool.on_short = lambda: listener.make_room(config.links.connect_within)
     log = ChangeLog(config.changelog, config.last, config.names, router.change)
     async with anyio.create_task_group() as tasks:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1) as signals:
--- a/cometseam/transport/buffers.py
+++ b/cometseam/transport/buffers.py
@@ -1,10 +1,17 @@
 """Buffers of one size, made when first needed and used again."""
 
+from collections.abc import Callable
+
 import anyio
 
 from cometseam.counters import COUNTERS, invariant
 
 SIZE = 32768  # an eighth of the largest message: small ones waste little, large ones take few
+ASK_AGAIN = 0.1  # s
+
+
+def _nothing() -> None:
+    pass
 
 
 class Pool:
@@ -14,6 +21,7 @@
         self._free: list[bytearray] = []
         self._unmade = self.most = max(memory // SIZE, 2 * 8)
         self._freed = anyio.Event()
+        self.on_short: Callable[[], None] = _nothing  # asks for room to be made
 
     @property
     def out(self) -> int:
@@ -35,6 +43,8 @@
         count = -(-size // SIZE)
         if count > len(self._free) + self._unmade:
             COUNTERS.add("buffers.short")
+            self.on_short()
+        if count > len(self._free) + self._unmade:
             return None
         return Chain(self, [buffer for _ in range(count) if (buffer := self.take()) is not None], size)
 
@@ -46,10 +56,11 @@
             self._freed.set()
 
     async def wait(self) -> None:
-        """Wait until a buffer comes back."""
+        """Wait until a buffer comes back, or for so long that it is time to ask for room again."""
         if self._freed.is_set():
             self._freed = anyio.Event()
-        await self._freed.wait()
+        with anyio.move_on_after(ASK_AGAIN):
+            await self._freed.wait()
 
 
 class Chain:
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -227,10 +227,14 @@
         """End connections that keep buffers busy for longer than any pull may take, for ever."""
         while True:
             await anyio.sleep(longest / 1000.0 / 2.0)
-            for client in list(self.clients):
-                if client.is_stalled(longest):
-                    COUNTERS.add("client.stalled")
-                    client.close()
+            self.make_room(longest)
+
+    def make_room(self, longest: float) -> None:
+        """End the connections that have kept buffers busy for so long: others wait for these."""
+        for client in list(self.clients):
+            if client.is_stalled(longest):
+                COUNTERS.add("client.stalled")
+                client.close()
 
     def drain(self) -> None:
         """Ask all clients to send no new pull, those to come as well."""
--- /dev/null
+++ b/tests/test_actors.py
@@ -0,0 +1,272 @@
+"""The actors in this process: what is owed is answered whatever fails, what is unsent is decided again."""
+
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+import anyio
+import pytest
+
+from cometseam import interface as i
+from cometseam.config import Config, decode
+from cometseam.logic import Front
+from cometseam.mailbox import Mailbox
+from cometseam.protocol.changelog import Change, Listing, Purge
+from cometseam.protocol.frames import Frame, Order
+from cometseam.protocol.resp import Command
+from cometseam.reading import Section
+from cometseam.routing.actor import Router
+from cometseam.routing.translate import Roster
+from cometseam.transport.buffers import Pool
+from cometseam.transport.client import Client
+from cometseam.transport.clock import Clock, Timers
+from cometseam.transport.peer import Ask, End, GiveUp, How, Peer, Surroundings
+from tests.drive import SAMPLE, News
+
+pytestmark = pytest.mark.anyio
+CONFIG: Config = decode(Section(SAMPLE))
+LISTING = cast(Listing, CONFIG.known[0])
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Caller:
+    """Stands in for a client's connection, and writes down its answers."""
+
+    def __init__(self) -> None:
+        self.answers: list[str] = []
+        self.news = News()
+
+    def served(self, stream: int, copy_holds: bool, body: object) -> None:
+        self._answer(f"{stream} served")
+
+    def shed(self, stream: int, come_back_in: float) -> None:
+        self._answer(f"{stream} shed")
+
+    def errored(self, stream: int, why: str = "") -> None:
+        self._answer(f"{stream} errored")
+
+    def _answer(self, text: str) -> None:
+        self.answers.append(text)
+        self.news.tell()
+
+    async def until(self, count: int) -> list[str]:
+        """Wait for so many answers."""
+        await self.news.until(lambda: len(self.answers) >= count)
+        return self.answers
+
+
+class Failing:
+    """A module that fails on what it is told to fail on."""
+
+    def __init__(self, front: Any, fails_on: type[i.Event]) -> None:
+        self.front, self.fails_on = front, fails_on
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        if isinstance(event, self.fails_on):
+            raise RuntimeError("on purpose")
+        return cast(list[i.Action], self.front.handle(now, event))
+
+
+def around() -> Surroundings:
+    clock = Clock()
+    return Surroundings(CONFIG.links, Pool(1 << 22), clock, Timers(clock), connections=8)
+
+
+def order(left: float = 2000.0, workload: str = "maps") -> Order:
+    return Order("0" * 16, workload, left, "7" * 16, 0, 17, 40.0, "", Frame(16, 1), 0)
+
+
+def router(front: Any, most: int = 100) -> Router:
+    return Router(front, CONFIG.names, most, around())
+
+
+def listing(*, address: tuple[str, int] = ("127.0.0.1", 1), state: i.Lifecycle = i.Lifecycle.READY) -> Change:
+    lines = tuple(
+        type(line)(line.name, address, line.zone, line.kind, line.cell, state, line.weight, line.ready_at)
+        for line in LISTING.lines
+    )
+    return Listing(1, True, lines)
+
+
+async def run(actor: Router, test: Callable[[], Any]) -> None:
+    """Run an actor and its timers while a test does."""
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(actor.run)
+            tasks.start_soon(actor._around.timers.run)
+            await test()
+            tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("fails_on", [i.Pull, i.Ended])
+async def test_a_module_that_fails_on_an_event_has_its_pull_answered(fails_on: type[i.Event]) -> None:
+    actor, caller = router(Failing(Front(1, CONFIG.settings), fails_on)), Caller()
+
+    async def test() -> None:
+        actor.change([listing()])
+        for stream in (1, 2):
+            assert actor.take(cast(Client, caller), stream, order())
+        assert await caller.until(2) == ["1 errored", "2 errored"]
+        assert not actor.owed
+
+    await run(actor, test)
+
+
+async def test_a_module_that_forgets_a_pull_has_it_answered_at_its_cut_off() -> None:
+    class Forgetful:
+        def handle(self, now: float, event: i.Event) -> list[i.Action]:
+            return []
+
+    actor, caller = router(Forgetful()), Caller()
+
+    async def test() -> None:
+        actor.take(cast(Client, caller), 1, order(left=30.0))
+        assert await caller.until(1) == ["1 errored"]
+
+    await run(actor, test)
+
+
+async def test_beyond_its_bounds_it_takes_no_pull_and_unknown_workloads_are_errors() -> None:
+    actor, caller = router(Front(1, CONFIG.settings), most=2), Caller()
+    assert actor.take(cast(Client, caller), 1, order(workload="unheard"))
+    assert actor.take(cast(Client, caller), 2, order(workload="unheard"))
+    assert not actor.take(cast(Client, caller), 3, order())
+
+    async def test() -> None:
+        assert await caller.until(2) == ["1 errored", "2 errored"]
+        assert actor.take(cast(Client, caller), 3, order())
+
+    await run(actor, test)
+
+
+async def silent_listener() -> tuple[socket.socket, list[socket.socket]]:
+    """A listener whose queue is full: what connects to it comes up only much later."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    queued = []
+    for _ in range(4):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(listener.getsockname())
+        queued.append(sock)
+    await anyio.wait_writable(queued[0])
+    return listener, queued
+
+
+@pytest.mark.parametrize(
+    "later",
+    [
+        Purge(2, int("7" * 16, 16), 0, 1.0),
+        Purge(2, 0, 17, 1.0),
+        listing(state=i.Lifecycle.DRAINING),
+    ],
+    ids=["object", "group", "drain"],
+)
+async def test_what_waits_unsent_is_decided_again_at_a_purge_or_a_drain(later: Change) -> None:
+    listener, queued = await silent_listener()
+    events: list[i.Event] = []
+
+    class Noting(Front):
+        def handle(self, now: float, event: i.Event) -> list[i.Action]:
+            events.append(event)
+            return super().handle(now, event)
+
+    actor, caller = router(Noting(1, CONFIG.settings)), Caller()
+
+    async def test() -> None:
+        actor.change([listing(address=listener.getsockname())])
+        actor.take(cast(Client, caller), 1, order())
+        while not any(isinstance(event, i.Pull) for event in events):
+            await anyio.lowlevel.checkpoint()
+        actor.change([later])
+        while not any(isinstance(event, i.Ended) for event in events):
+            await anyio.lowlevel.checkpoint()
+        ended = next(event for event in events if isinstance(event, i.Ended))
+        assert ended.outcome is i.Outcome.MOOT and ended.took < CONFIG.links.connect_within
+
+    await run(actor, test)
+    for sock in (listener, *queued):
+        sock.close()
+
+
+async def test_a_connection_that_does_not_come_up_delays_only_its_own_relays() -> None:
+    listener, queued = await silent_listener()
+    ends: list[End] = []
+    news = News()
+    here = around()
+    peers = []
+    for address in (listener.getsockname(), ("127.0.0.1", 1)):
+
+        def report(end: End) -> None:
+            ends.append(end)
+            news.tell()
+
+        peers.append(Peer("p", address, here, report, Mailbox(2)))
+    command = Command("0" * 16, "maps", "7" * 16, 0, "", 0, 0.0, False, False, False, False, "")
+    now = here.clock.now()
+    asks = [Ask(number, 0, command, [], now, now + 2000.0) for number in range(2)]
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            for ask, peer in zip(asks, peers, strict=True):
+                assert peer.mailbox.offer(ask)
+                tasks.start_soon(peer.run)
+            tasks.start_soon(here.timers.run)
+            await news.until(lambda: len(ends) == 1)
+            assert ends[0].ask is asks[1] and ends[0].how is How.UNCONNECTED  # refused: told at once
+            assert here.clock.now() - now < CONFIG.links.connect_within
+            peers[0].mailbox.push(GiveUp(asks[0]))
+            await news.until(lambda: len(ends) == 2)
+            assert ends[1].ask is asks[0] and ends[1].how is How.UNSENT
+            tasks.cancel_scope.cancel()
+    for sock in (listener, *queued):
+        sock.close()
+
+
+async def test_a_mailbox_is_bounded_and_lets_what_is_urgent_pass() -> None:
+    box: Mailbox[int] = Mailbox(2)
+    assert box.offer(1) and box.offer(2) and not box.offer(3)
+    box.put_urgent(9)
+    assert [await box.take() for _ in range(3)] == [9, 1, 2] and box.offer(3)
+
+
+async def test_timers_run_in_order_a_sooner_one_first_and_none_that_is_cancelled() -> None:
+    clock = Clock()
+    timers, done, news = Timers(clock), list[str](), News()
+
+    def note(text: str) -> Callable[[], None]:
+        def run() -> None:
+            done.append(text)
+            news.tell()
+
+        return run
+
+    now = clock.now()
+    timers.at(now + 40.0, note("later"))
+    timers.at(now + 20.0, note("cancelled")).cancel()
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(timers.run)
+            await anyio.lowlevel.checkpoint()
+            timers.at(now + 10.0, note("sooner"))
+            timers.at(now + 15.0, lambda: done.remove("it is not there"))
+            await news.until(lambda: len(done) == 2)
+            tasks.cancel_scope.cancel()
+    assert done == ["sooner", "later"]
+
+
+def test_a_cache_has_one_number_on_all_fronts_whatever_order_it_comes_in() -> None:
+    def numbers(lines: tuple[Any, ...]) -> dict[str, int]:
+        entries = Roster().take(Listing(1, True, lines)).entries
+        return {line.name: entry.cache for line, entry in zip(lines, entries, strict=True)}
+
+    assert numbers(LISTING.lines) == numbers(LISTING.lines[::-1])
+    assert len(set(numbers(LISTING.lines).values())) == len(LISTING.lines)
+    roster = Roster()
+    (first, *_) = roster.take(Listing(1, True, LISTING.lines[:1])).entries
+    roster.take(listing(state=i.Lifecycle.GONE))  # type: ignore[arg-type]
+    assert not len(roster) and roster.take(LISTING).entries[0].cache == first.cache
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -290,3 +290,19 @@
     run = subprocess.run([sys.executable, "-m", "cometseam"], env={**os.environ, "ROUTER_CONFIG": str(file)},
                          capture_output=True, text=True, timeout=20)  # fmt: skip
     assert run.returncode == 2 and run.stderr.count("\n") == 1 and f" {named}: " in run.stderr
+
+
+async def test_where_buffers_run_short_clients_that_do_not_read_are_ended(tmp_path: Path) -> None:
+    body = bytes(240_000)
+    async with world(tmp_path, memory_mb=64) as here:
+        slow = [await here.call() for _ in range(6)]
+        for caller in slow:
+            await caller.send(*(order(stream, item=f"{stream:016x}") for stream in range(1, 33)))
+            for _ in range(32):
+                await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", body)
+        quick = await here.call()
+        await quick.send(order(1))
+        await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", body)
+        assert (await quick.next()).body == body
+        counts = await here.stop()
+        assert counts["client.stalled"] >= 1 and counts["buffers.short"] >= 1 and counts["memory_mb"] < 64
