--- a/cometseam/counters.py
+++ b/cometseam/counters.py
@@ -29,13 +29,15 @@
         self.see("memory_mb", resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0)
         self.see("descriptors", len(os.listdir("/proc/self/fd")))
 
-    def print(self, why: str) -> None:
-        """Write all of them to the log."""
+    def print(self, why: str, peers: list[str]) -> None:
+        """Write all of them to the log, and what is counted for each peer."""
         self.sample()
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.most["cpu_s"] = usage.ru_utime + usage.ru_stime
         lines = [f"{name}={count}" for name, count in sorted(self.counts.items())]
         lines += [f"{name}={value:.1f}" for name, value in sorted(self.most.items())]
+        for peer in peers:
+            logger.info("peer ({}): {}", why, peer)
         logger.info("counters ({}): {}", why, " ".join(lines))
 
 
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -46,13 +46,13 @@
             async for number in signals:
                 if number == signal.SIGTERM:
                     break
-                COUNTERS.print("asked")
+                COUNTERS.print("asked", router.peers())
             logger.info("{} drains", config.name)
             router.draining = True
             listener.drain()
             await _drain(config, clock, router, listener)
             tasks.cancel_scope.cancel()
-    COUNTERS.print("at exit")
+    COUNTERS.print("at exit", router.peers())
 
 
 async def _drain(config: Config, clock: Clock, router: Router, listener: Listener) -> None:
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -196,8 +196,11 @@
             first = not self._listed and change.whole
             self._listed = True
             self._decide(i.Members(i.ListKind.CACHED, members.entries) if first else members)
-            unfit = {entry.cache for entry in members.entries if entry.lifecycle is not i.Lifecycle.READY}
-            self._reconsider(lambda _, relay: relay.cache in unfit or relay.source in unfit)
+            self._reconsider(lambda _, relay: not (self._fit(relay.cache) and self._fit(relay.source)))
+
+    def _fit(self, cache: int) -> bool:
+        line = self._roster.get(cache)
+        return line is not None and line.lifecycle is i.Lifecycle.READY
 
     def _reconsider(self, concerned: Callable[[Open, i.Relay], bool]) -> None:
         """Take back relays of which nothing is written yet: they were decided before a drain or a purge."""
@@ -289,7 +292,10 @@
     def _ended(self, end: End) -> None:
         answer, pull = end.answer, self._open.get(end.ask.pull)
         invariant(pull is not None and pull.out is not None, "an end of a relay that is out")
-        COUNTERS.add(f"relay.{answer.word.lower() if answer is not None else end.how}")
+        kind = answer.word.lower() if answer is not None else end.how
+        COUNTERS.add(f"relay.{kind}")
+        if pull is not None and pull.out is not None and pull.out.peer is not None:
+            pull.out.peer.ends[kind] += 1
         body = answer.body if answer is not None else None
         if pull is None or pull.out is None:
             if body is not None:
@@ -317,6 +323,11 @@
         if pull.out is None and self._open.pop(pull.number, None) is not None:
             pull.order.frame.free()
 
+    def peers(self) -> list[str]:
+        """Tell for each peer how relays to it ended."""
+        peers = sorted(self._peers.values(), key=lambda peer: peer.name)
+        return [" ".join((peer.name, *(f"{k}={n}" for k, n in sorted(peer.ends.items())))) for peer in peers]
+
     def give_up_all(self) -> None:
         """Answer all that is owed: the front ends."""
         for pull in list(self._open.values()):
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -1,7 +1,7 @@
 """One cache, parent or origin: an actor that sends it relays and tells how each ended."""
 
 import socket
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -246,6 +246,7 @@
     around: Surroundings
     report: Callable[[End], None]
     mailbox: Mailbox[Ask | GiveUp]
+    ends: Counter[str] = field(default_factory=Counter)  # how relays to it ended; gone with the peer
     _channels: list[Channel] = field(default_factory=list)
     _waiting: list[Ask] = field(default_factory=list)  # for a connection; each leaves by its own time-out
     _out: dict[int, Ask] = field(default_factory=dict)  # by pull
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -257,8 +257,13 @@
 
 async def test_counters_are_printed_on_request(tmp_path: Path) -> None:
     async with world(tmp_path) as here:
+        caller = await here.call()
+        await caller.send(order(1))
+        await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", b"x")
+        assert (await caller.next()).code == 1
         here.process.send_signal(signal.SIGUSR1)
         await here.logged(b"counters (asked)")
+        assert b"peer (asked): cache-1 done=1\n" in here.output and b"pull.taken=1 " in here.output
 
 
 @pytest.mark.parametrize(
