--- a/tests/drive.py
+++ b/tests/drive.py
@@ -154,7 +154,7 @@
     def __init__(self, name: str, news: News) -> None:
         self.name, self.news = name, news
         self.asked: list[Asked] = []
-        self.seen = self.doubted = 0
+        self.seen = self.doubted = self.ended = 0
 
     async def serve(self, stream: SocketStream) -> None:
         reader = BufferedByteReceiveStream(stream)
@@ -173,6 +173,8 @@
                 self.news.tell()
         except ENDS:
             await stream.aclose()
+            self.ended += 1
+            self.news.tell()
 
     async def next(self) -> Asked:
         await self.news.until(lambda: len(self.asked) > self.seen)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -126,6 +126,33 @@
         assert (await caller.next()).type == 33  # and nothing of the late answer before it
 
 
+async def test_a_connection_that_stays_silent_is_ended_and_another_takes_its_place(tmp_path: Path) -> None:
+    async with world(tmp_path) as here:
+        caller, cache = await here.call(), here.caches["cache-1"]
+        await caller.send(order(1))
+        first = await cache.next()
+        assert (await cache.next()).parts == ["STOP", first.id]
+        await here.news.until(lambda: cache.ended)
+        assert cache.doubted == 1
+        await caller.send(order(2))
+        while (asked := await cache.next()).id != f"{2:016x}":
+            pass
+        await asked.answer("DONE", f"tag={TAG},minted=1", b"anew")
+        while (got := await caller.next()).stream != 2:
+            pass
+        assert got.body == b"anew"
+
+
+async def test_a_copy_that_the_client_does_not_hold_is_never_said_to_hold(tmp_path: Path) -> None:
+    async with world(tmp_path) as here:
+        caller = await here.call()
+        await caller.send(order(1))
+        await (await here.caches["cache-1"].next()).answer("KEEP", f"tag={TAG},minted=1")
+        await here.news.until(lambda: here.caches["cache-1"].ended)
+        counts = await here.stop()
+        assert counts["peer.bad_input"] == 1 and "answer.served" not in counts
+
+
 async def test_a_connection_that_breaks_or_lies_ends_its_relays_and_the_pull_goes_on(tmp_path: Path) -> None:
     async with world(tmp_path, "cache-2", "cache-3") as here:
         caller = await here.call()
