--- a/cometseam/__main__.py
+++ b/cometseam/__main__.py
@@ -3,21 +3,23 @@
 import sys
 
 import anyio
+from loguru import logger
 
 from cometseam.config import read_config
-from cometseam.counters import set_up_log
 from cometseam.program import run
 from cometseam.reading import Faulty
 
 
 def main() -> int:
     """Run until SIGTERM; a configuration that can't be used ends it with one line and status 2."""
-    set_up_log()
     try:
         config = read_config()
     except Faulty as error:
         print(f"cometseam: configuration: {error}", file=sys.stderr)
         return 2
+    logger.remove()
+    logger.add(sys.stderr, level=config.log_level, backtrace=False, diagnose=False,
+               format="{time:HH:mm:ss.SSS} {level} {message}")  # fmt: skip
     try:
         anyio.run(run, config, backend_options={"use_uvloop": True})
     except OSError as error:
--- a/cometseam/config.py
+++ b/cometseam/config.py
@@ -9,7 +9,8 @@
 from cometseam.reading import Faulty, Section
 from cometseam.settings import Links, Names, read_links, read_names, read_settings
 
-VARIABLE = "ROUTER_CONFIG"
+VARIABLE, LOG_VARIABLE = "ROUTER_CONFIG", "COMETSEAM_LOG"
+LOG_LEVELS = {level: level for level in ("DEBUG", "INFO", "WARNING", "ERROR")}
 CLIENTS_PART = 3  # clients hold a third of the descriptors at most, and peers may have another third
 POOL_PART = 3  # of the memory goes to buffers
 
@@ -30,6 +31,7 @@
     settings: Settings
     names: Names
     links: Links
+    log_level: str
 
 
 def read_config() -> Config:
@@ -44,10 +46,10 @@
         raise Faulty(f"{VARIABLE}: {path}: {error.strerror}") from error
     except (ValueError, RecursionError) as error:
         raise Faulty(f"{VARIABLE}: {path}: not JSON: {error}") from error
-    return decode(Section(raw))
+    return decode(Section(raw), Section(dict(os.environ)))
 
 
-def decode(top: Section) -> Config:
+def decode(top: Section, environment: Section) -> Config:
     """Check and decode the configuration."""
     limits, known, settings = top.section("limits"), top.section("known"), top.section("settings")
     seed = top.text("seed")
@@ -75,4 +77,5 @@
         settings=read_settings(settings),
         names=names,
         links=read_links(settings),
+        log_level=environment.one_of(LOG_VARIABLE, LOG_LEVELS, "INFO"),
     )
--- a/cometseam/counters.py
+++ b/cometseam/counters.py
@@ -1,8 +1,8 @@
 """Counts what the front takes in, sends and answers, and what must hold but did not."""
 
+import math
 import os
 import resource
-import sys
 from collections import Counter
 
 from loguru import logger
@@ -21,7 +21,7 @@
 
     def see(self, name: str, value: float) -> None:
         """Keep the largest value seen."""
-        if value > self.most.get(name, -1.0):
+        if value > self.most.get(name, -math.inf):
             self.most[name] = value
 
     def sample(self) -> None:
@@ -51,10 +51,3 @@
     if __debug__:
         raise AssertionError(name)
     COUNTERS.add(f"invariant_broken.{name}")
-
-
-def set_up_log() -> None:
-    """Log to standard error, one line an entry."""
-    logger.remove()
-    logger.add(sys.stderr, level=os.environ.get("COMETSEAM_LOG", "INFO"), backtrace=False, diagnose=False,
-               format="{time:HH:mm:ss.SSS} {level} {message}")  # fmt: skip
--- a/cometseam/mailbox.py
+++ b/cometseam/mailbox.py
@@ -15,7 +15,7 @@
         self.most = most
         self._urgent: deque[Message] = deque()
         self._plain: deque[Message] = deque()
-        self._filled, self._emptied = anyio.Event(), anyio.Event()
+        self._filled = anyio.Event()
 
     def __len__(self) -> int:
         return len(self._urgent) + len(self._plain)
@@ -33,13 +33,6 @@
         self._plain.append(message)
         self._filled.set()
 
-    async def put(self, message: Message) -> None:
-        """Put a message in; wait while the box is full."""
-        while not self.offer(message):
-            if self._emptied.is_set():
-                self._emptied = anyio.Event()
-            await self._emptied.wait()
-
     def put_urgent(self, message: Message) -> None:
         """Put a message before all plain ones. Its sender bounds how many there can be."""
         self._urgent.append(message)
@@ -52,7 +45,4 @@
             await self._filled.wait()
         if self._urgent:
             return self._urgent.popleft()
-        message = self._plain.popleft()
-        if not self._emptied.is_set():
-            self._emptied.set()
-        return message
+        return self._plain.popleft()
--- a/cometseam/reading.py
+++ b/cometseam/reading.py
@@ -82,16 +82,16 @@
             raise Faulty(f"{self.at(key)}: true or false was expected in each place")
         return tuple(values)
 
-    def text(self, key: str) -> str:
+    def text(self, key: str, absent: str | None = None) -> str:
         """Return a text."""
-        value = self._get(key, None)
+        value = self._get(key, absent)
         if not isinstance(value, str):
             raise Faulty(f"{self.at(key)}: a text was expected, not {_told(value)}")
         return value
 
-    def one_of(self, key: str, known: dict[str, Any]) -> Any:
+    def one_of(self, key: str, known: dict[str, Any], absent: str | None = None) -> Any:
         """Return what stands for one of the known words."""
-        word = self.text(key)
+        word = self.text(key, absent)
         if word not in known:
             raise Faulty(f"{self.at(key)}: {word!r} is none of {', '.join(known)}")
         return known[word]
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -24,7 +24,7 @@
 from tests.drive import SAMPLE, News
 
 pytestmark = pytest.mark.anyio
-CONFIG: Config = decode(Section(SAMPLE))
+CONFIG: Config = decode(Section(SAMPLE), Section({}))
 HANGS = 2
 LISTING = cast(Listing, CONFIG.known[0])
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -306,6 +306,7 @@
         (("known",), {"seq": 1, "results": [{"seq": 1, "fleet": {}}]}, "known.results[0].fleet.endpoints"),
         (("known",), None, "known"),
         ((), "{", "ROUTER_CONFIG"),
+        (("COMETSEAM_LOG",), "LOUD", "COMETSEAM_LOG"),
     ],
 )
 async def test_a_faulty_configuration_ends_it_with_one_line_that_names_the_key(
@@ -319,8 +320,9 @@
         at[path[-1]] = value
     file = tmp_path / "config.json"
     file.write_text(json.dumps(config) if path else value)
-    run = subprocess.run([sys.executable, "-m", "cometseam"], env={**os.environ, "ROUTER_CONFIG": str(file)},
-                         capture_output=True, text=True, timeout=20)  # fmt: skip
+    env = {**os.environ, "ROUTER_CONFIG": str(file), **({named: value} if named == "COMETSEAM_LOG" else {})}
+    run = subprocess.run([sys.executable, "-m", "cometseam"], env=env, capture_output=True, text=True,
+                         timeout=20)  # fmt: skip
     assert run.returncode == 2 and run.stderr.count("\n") == 1 and f" {named}: " in run.stderr
 
 
