--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -218,6 +218,29 @@
             tasks.cancel_scope.cancel()
 
 
+async def test_a_peer_that_takes_no_bytes_is_left_and_its_relay_never_ran() -> None:
+    ends: list[End] = []
+    news = News()
+
+    def report(end: End) -> None:
+        ends.append(end)
+        news.tell()
+
+    listener, here = socket.create_server(("127.0.0.1", 0)), around()
+    peer = Peer("p", listener.getsockname(), here, report, Mailbox(2))
+    command = Command("0" * 16, "maps", "7" * 16, 0, "", 0, 0.0, False, False, False, False, "")
+    now = here.clock.now()
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(peer.run)
+            tasks.start_soon(here.timers.run)
+            assert peer.mailbox.offer(Ask(1, 0, command, [memoryview(bytes(1 << 24))], now, now + 200.0))
+            await news.until(lambda: ends)
+            assert ends[0].how is How.UNCONNECTED and peer.is_idle
+            tasks.cancel_scope.cancel()
+    listener.close()
+
+
 async def test_a_mailbox_is_bounded_and_lets_what_is_urgent_pass() -> None:
     box: Mailbox[int] = Mailbox(2)
     assert box.offer(1) and box.offer(2) and not box.offer(3)
