--- a/cometseam/config.py
+++ b/cometseam/config.py
@@ -11,8 +11,8 @@
 
 VARIABLE, LOG_VARIABLE = "ROUTER_CONFIG", "COMETSEAM_LOG"
 LOG_LEVELS = {level: level for level in ("DEBUG", "INFO", "WARNING", "ERROR")}
-CLIENTS_PART = 3  # clients hold a third of the descriptors at most, and peers may have another third
-POOL_PART = 3  # of the memory goes to buffers
+# Clients hold a third of the descriptors at most: half leaves place for those that only hold connections.
+CLIENTS_PART, PEERS_PART = 2, 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +22,7 @@
     name: str
     listen: tuple[str, int]
     seed: int
-    memory: int  # bytes for buffers
+    memory: int  # bytes that the process may take
     clients: int  # connections of clients at most
     peers: int  # connections to peers at most
     changelog: tuple[str, int]
@@ -33,6 +33,12 @@
     links: Links
     log_level: str
 
+    def needs_restart(self, new: "Config") -> list[str]:
+        """Tell the keys in which a new configuration differs and that are read at the start only."""
+        keys = ("name", "listen", "seed", "settings", "names", "links")
+        changed = [key for key in keys if getattr(self, key) != getattr(new, key)]
+        return list(dict.fromkeys("settings" if key in ("names", "links") else key for key in changed))
+
 
 def read_config() -> Config:
     """Read the file that the environment names; what is wrong is `Faulty`, and its text names the key."""
@@ -58,7 +64,7 @@
     except ValueError:
         raise Faulty(f"seed: hex digits were expected, not {seed[:40]!r}") from None
     sockets = limits.whole("sockets", 1024, low=32)
-    memory = limits.number("memory_mb", 192.0, low=64) * (1 << 20)
+    memory = limits.number("memory_mb", 192.0, low=24) * (1 << 20)
     names = read_names(settings)
     changes = read_changes(known, names)
     for change in changes:
@@ -68,9 +74,9 @@
         name=top.text("name"),
         listen=read_address(top, "listen"),
         seed=seed_number,
-        memory=int(memory / POOL_PART),
+        memory=int(memory),
         clients=sockets // CLIENTS_PART,
-        peers=sockets // CLIENTS_PART,
+        peers=sockets // PEERS_PART,
         changelog=read_address(top, "changelog"),
         last=known.whole("seq", low=0),
         known=tuple(changes),
--- a/cometseam/counters.py
+++ b/cometseam/counters.py
@@ -3,11 +3,18 @@
 import math
 import os
 import resource
+import time
 from collections import Counter
 
 from loguru import logger
 
 
+def memory_taken() -> int:
+    """Tell how many bytes the process takes now."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+
 class Counters:
     """Counts by name, and the most that some figures came to."""
 
@@ -42,6 +49,18 @@
 
 
 COUNTERS = Counters()
+QUIET = 1.0  # s in which one line of a kind is logged
+_logged: dict[str, float] = {}  # when a kind was last logged; as many as there are texts in the program
+
+
+def warn(text: str, *values: object) -> None:
+    """Log a warning that the other side may cause at will: one line of a kind in a while, all counted."""
+    now = time.monotonic()
+    if now - _logged.get(text, -QUIET) >= QUIET:
+        _logged[text] = now
+        logger.warning(text, *values)
+    else:
+        COUNTERS.add("log.left_out")
 
 
 def invariant(holds: bool, name: str) -> None:
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -5,9 +5,10 @@
 import anyio
 from loguru import logger
 
-from cometseam.config import Config
-from cometseam.counters import COUNTERS
+from cometseam.config import Config, read_config
+from cometseam.counters import COUNTERS, memory_taken
 from cometseam.logic import Front
+from cometseam.reading import Faulty
 from cometseam.routing.actor import Router
 from cometseam.transport.buffers import Pool
 from cometseam.transport.changelog import ChangeLog
@@ -18,6 +19,7 @@
 # By the protocol, after SIGTERM: new connections come for 400 ms and pulls on open ones for 200 ms more, by
 # clients' clocks; it is killed no sooner than 700 ms after the longest cut-off, of which 3 s count at most.
 KILLED_PAST, MOST_CUT_OFF = 700.0, 3000.0
+POOL_PART = 2  # of the memory that the interpreter leaves, what goes to buffers
 TURN = 10.0  # ms between two looks at what is still owed
 SAMPLE = 50.0  # ms between two looks at the loop's lag
 
@@ -26,7 +28,8 @@
     """Serve until SIGTERM, then answer what is owed and end."""
     clock = Clock()
     timers = Timers(clock)
-    pool = Pool(config.memory)
+    taken = memory_taken()
+    pool = Pool((config.memory - taken) // POOL_PART)
     around = Surroundings(config.links, pool, clock, timers, config.peers)
     front = Front(config.seed, config.settings)
     router = Router(front, config.names, config.clients * MOST_OPEN, around)
@@ -35,18 +38,23 @@
     pool.on_short = lambda: listener.make_room(config.links.connect_within)
     log = ChangeLog(config.changelog, config.last, config.names, router.change)
     async with anyio.create_task_group() as tasks:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1) as signals:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
             router.change(list(config.known))
             for actor in (router.run, timers.run, log.run):
                 tasks.start_soon(actor)
             tasks.start_soon(listener.run, tasks)
-            tasks.start_soon(listener.end_stalled, config.links.longest_cut_off)
+            tasks.start_soon(listener.end_overdue, config.links.longest_cut_off)
             tasks.start_soon(_sample, clock)
             logger.info("{} listens at {}:{}", config.name, *config.listen)
             async for number in signals:
                 if number == signal.SIGTERM:
                     break
-                COUNTERS.print("asked", router.peers())
+                if number == signal.SIGUSR1:
+                    COUNTERS.print("asked", router.peers())
+                elif (new := _reread(config)) is not None:
+                    pool.resize((new.memory - taken) // POOL_PART)
+                    listener.most, around.connections = new.clients, new.peers
+                    log.move(new.changelog)
             logger.info("{} drains", config.name)
             router.draining = True
             listener.drain()
@@ -55,6 +63,21 @@
     COUNTERS.print("at exit", router.peers())
 
 
+def _reread(config: Config) -> Config | None:
+    """Read the configuration anew; a faulty one is logged, and the one that runs stays."""
+    try:
+        new = read_config()
+    except Faulty as error:
+        COUNTERS.add("reload.faulty")
+        logger.error("configuration: {}; the one that runs stays", error)
+        return None
+    COUNTERS.add("reload.taken")
+    for key in config.needs_restart(new):
+        logger.warning("configuration: {}: has changed, which needs a restart", key)
+    logger.info("configuration: read anew")
+    return new
+
+
 async def _drain(config: Config, clock: Clock, router: Router, listener: Listener) -> None:
     """Wait until nothing more can come and nothing is owed; at the last moment answer what still is."""
     began = clock.now()
--- a/cometseam/protocol/frames.py
+++ b/cometseam/protocol/frames.py
@@ -1,5 +1,6 @@
 """Frames between clients and the front."""
 
+import re
 import struct
 from dataclasses import dataclass
 from enum import IntEnum
@@ -111,6 +112,8 @@
             at = end + 2 + size
             if at > len(payload):
                 raise Malformed("fields: the payload ends inside them")
+            if name in fields:
+                raise Malformed("fields: one comes twice")
             fields[name] = payload[end + 2 : at].decode()
     except (IndexError, UnicodeDecodeError) as error:
         raise Malformed(f"fields: {error}") from error
@@ -160,25 +163,25 @@
 
 LONGEST_LEFT = 3600000.0
 HEX_DIGITS = frozenset("0123456789abcdef")
+NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,20})?([eE][-+]?[0-9]{1,2})?")  # no other alphabet's digits
+WHOLE = re.compile(r"[0-9]{1,12}")
 
 
 def read_order(frame: Frame) -> Order:
     """Read an order; what is missing or unusable is malformed, and the text names the field."""
     fields, body_at = frame.split()
 
-    def number(name: str, low: float, high: float) -> float:
-        try:
-            value = float(fields[name])
-        except (KeyError, ValueError):
-            raise Malformed(f"{name}: missing or not a number") from None
+    def number(name: str, low: float, high: float, form: re.Pattern[str] = NUMBER) -> float:
+        text = fields.get(name, "")
+        if not form.fullmatch(text):
+            raise Malformed(f"{name}: missing or not a number of its kind")
+        value = float(text)
         if not low <= value <= high:
             raise Malformed(f"{name}: out of range")
         return value
 
     def whole(name: str, high: int) -> int:
-        if not fields.get(name, "").isdecimal():
-            raise Malformed(f"{name}: missing or not a whole number")
-        return int(number(name, 0, high))
+        return int(number(name, 0, high, WHOLE))
 
     def tag(name: str) -> str:
         value = fields.get(name, "")
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -83,6 +83,7 @@
         self._most_open = most_open
         self._open: dict[int, Open] = {}
         self._by_stream: dict[tuple[Client, int], Open] = {}  # a pull leaves when it is no longer owed
+        self._ids: set[str] = set()  # of the pulls in `_open`
         self._last = 0
         self._events: deque[i.Event] = deque()  # what is still to be handed to the module
         self._tasks: TaskGroup | None = None
@@ -154,8 +155,11 @@
         order, now = taken.order, self._around.clock.now()
         workload = self._workloads.get(order.workload)
         if workload is None:
-            COUNTERS.add("client.bad_input")
-            taken.client.errored(taken.stream, "verb: unknown")
+            taken.client.unusable(taken.stream, "verb: unknown")
+            order.frame.free()
+            return
+        if order.id in self._ids:
+            taken.client.unusable(taken.stream, "txn: open already")
             order.frame.free()
             return
         self._last += 1
@@ -163,6 +167,7 @@
         event = translate.pull(self._last, order, workload, cut_off - now)
         pull = Open(self._last, taken.client, taken.stream, order, event, cut_off)
         self._open[pull.number] = pull
+        self._ids.add(order.id)
         self._by_stream[taken.client, taken.stream] = pull
         COUNTERS.add("pull.taken")
         COUNTERS.see("pull.open", len(self._open))
@@ -321,6 +326,7 @@
             pull.timer.cancel()
         self._by_stream.pop((pull.client, pull.stream), None)
         if pull.out is None and self._open.pop(pull.number, None) is not None:
+            self._ids.discard(pull.order.id)
             pull.order.frame.free()
 
     def peers(self) -> list[str]:
--- a/cometseam/transport/buffers.py
+++ b/cometseam/transport/buffers.py
@@ -19,10 +19,23 @@
 
     def __init__(self, memory: int) -> None:
         self._free: list[bytearray] = []
-        self._unmade = self.most = max(memory // SIZE, 2 * 8)
+        self._unmade = self.most = 0
+        self.resize(memory)
         self._freed = anyio.Event()
         self.on_short: Callable[[], None] = _nothing  # asks for room to be made
 
+    def resize(self, memory: int) -> None:
+        """Change the bound; where more are lent, they are forgotten as they come back."""
+        most = max(memory // SIZE, 2 * 8)
+        self._unmade += most - self.most
+        self.most = most
+        self._trim()
+
+    def _trim(self) -> None:
+        while self._unmade < 0 and self._free:
+            self._free.pop()
+            self._unmade += 1
+
     @property
     def out(self) -> int:
         """Tell how many are lent."""
@@ -32,7 +45,7 @@
         """Lend one buffer."""
         if self._free:
             return self._free.pop()
-        if not self._unmade:
+        if self._unmade <= 0:
             return None
         self._unmade -= 1
         COUNTERS.see("buffers", self.most - self._unmade)
@@ -51,6 +64,7 @@
     def give_back(self, buffers: list[bytearray]) -> None:
         """Take lent buffers back."""
         self._free += buffers
+        self._trim()
         invariant(self.out >= 0, "buffers come back once")
         if not self._freed.is_set():
             self._freed.set()
--- a/cometseam/transport/changelog.py
+++ b/cometseam/transport/changelog.py
@@ -7,14 +7,14 @@
 from anyio.abc import ByteStream
 from loguru import logger
 
-from cometseam.counters import COUNTERS
+from cometseam.counters import COUNTERS, warn
 from cometseam.protocol import Malformed
 from cometseam.protocol.changelog import MOST, Change, Unusable, path, read_text
 from cometseam.settings import Names
 
 POLL = 2000  # ms a poll may take where nothing is to be told: a dead link shows well within the 7 s allowed
 PATIENCE = 1000  # ms past that, and for a connection to come up
-FIRST_WAIT, LONGEST_WAIT = 20.0, 1000.0  # ms between two tries that fail
+FIRST_WAIT, LONGEST_WAIT = 20.0, 500.0  # ms between two tries that fail
 
 
 class ChangeLog:
@@ -26,17 +26,25 @@
         self._address, self._last, self._names, self._hand_on = address, last, names, hand_on
         self._doubted = (0, 0)  # the event that was due, and the one that came and could not be taken
         self._wait = FIRST_WAIT
+        self._link = anyio.CancelScope()  # what is under way with this address
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address, at once; what the old one was about to tell is asked for anew."""
+        if address != self._address:
+            self._address, self._wait = address, FIRST_WAIT
+            self._link.cancel()
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            try:
-                await self._poll()
-            except Exception as error:  # whatever it is, the list held stays and the poll starts again
-                COUNTERS.add("changelog.failed")
-                logger.warning("the change log: {}: {}", type(error).__name__, error)
-            await anyio.sleep(self._wait / 1000.0)
-            self._wait = min(2.0 * self._wait, LONGEST_WAIT)
+            with anyio.CancelScope() as self._link:
+                try:
+                    await self._poll()
+                except Exception as error:  # whatever it is, the list held stays and the poll starts again
+                    COUNTERS.add("changelog.failed")
+                    warn("the change log: {}: {}", type(error).__name__, error)
+                await anyio.sleep(self._wait / 1000.0)
+                self._wait = min(2.0 * self._wait, LONGEST_WAIT)
 
     async def _poll(self) -> None:
         """Poll over one connection until it ends."""
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -7,9 +7,10 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from cometseam.counters import COUNTERS
+from cometseam.counters import COUNTERS, warn
 from cometseam.protocol import Body, Malformed
 from cometseam.protocol.frames import (
+    MOST,
     Decoder,
     Frame,
     Order,
@@ -25,7 +26,13 @@
 from cometseam.transport.clock import Clock
 from cometseam.transport.connection import Connection, Part
 
-MOST_OPEN = 32  # pulls open on a connection, by the protocol
+# By the protocol. What is unusable is told within 3 s of connecting: what has sent nothing whole, or part of
+# a frame, has a second less. Clients end what is idle for 4 s: what stays longer is in nobody's use.
+SENT = (Type.PULL, Type.HANG_UP, Type.READY)
+MOST_OPEN = 32  # pulls open on a connection
+FIRST_WORD, IDLE = 2000.0, 4500.0  # ms
+LOOK = 0.25  # s between two looks for what has lasted too long
+ACCEPTED = 16  # connections taken in one turn of the loop
 
 
 class Pulls(Protocol):
@@ -51,18 +58,31 @@
         self._open: set[int] = set()  # streams that are owed an answer
         self._highest = 0
         self._half_since = 0.0  # when the frame that is half read began; 0: there is none
-        self._ending = False  # framing is lost: it ends when nothing is open on it any more
+        self._spoke = False  # has sent a whole frame
+        self.used_at = clock.now()  # when it last sent a whole frame or was answered
+        self._ending = False  # sent what can't be used: it ends when nothing is open on it any more
+        self._passed_over = 0  # bytes that came after that
 
     @property
     def is_idle(self) -> bool:
         """Tell whether nothing is owed on it or on its way out."""
         return not self._open and not self._connection.is_stuck
 
+    @property
+    def is_spare(self) -> bool:
+        """Tell whether its end would cost nothing that has come so far."""
+        return self.is_idle and not self._connection.has_input()
+
     def is_stalled(self, longest: float) -> bool:
-        """Tell whether it has kept a frame half sent, or an answer half read, for longer than that."""
-        before = self._clock.now() - longest
-        half = 0.0 < self._half_since < before
-        return half or (self._connection.is_stuck and self._connection.stuck_since < before)
+        """Tell whether it has left an answer half read for longer than that."""
+        return self._connection.is_stuck and self._connection.stuck_since < self._clock.now() - longest
+
+    def is_overdue(self) -> bool:
+        """Tell whether it has held a place for too long with nothing that is open."""
+        now = self._clock.now()
+        if 0.0 < self._half_since < now - FIRST_WORD:
+            return True
+        return self.is_spare and self.used_at < now - (IDLE if self._spoke else FIRST_WORD)
 
     async def run(self, draining: bool) -> None:
         """Serve it until it ends."""
@@ -86,6 +106,9 @@
 
     def _feed(self, data: memoryview) -> int:
         if self._ending:
+            self._passed_over += len(data)
+            if self._passed_over > MOST:  # what is open on it no longer counts for more than reading this
+                self.close()
             return len(data)
         frames: list[Frame] = []
         taken, lost = len(data), ""
@@ -93,22 +116,25 @@
             taken = self._decoder.feed(data, frames)
         except Malformed as error:
             lost = str(error)
+        if frames:
+            self._spoke, self.used_at = True, self._clock.now()
         for frame in frames:
-            self._take(frame)
+            if self._ending:
+                frame.free()
+            else:
+                self._take(frame)
         if frames or not self._half_since:
             self._half_since = self._clock.now() if self._decoder.is_inside else 0.0
-        if lost:
-            self._ending = True
-            self._unusable(0, lost)
-            self._end_if_done()
-        return taken
+        if lost and not self._ending:
+            self.unusable(0, lost)
+        return len(data) if self._ending else taken
 
     def _end_if_done(self) -> None:
         if self._ending and self.is_idle:
             self.close()
 
     def _take(self, frame: Frame) -> None:
-        COUNTERS.add(f"client.frame.{frame.type}")
+        COUNTERS.add(f"client.frame.{frame.type}" if frame.type in SENT else "client.frame.unknown")
         match frame.type:
             case Type.PULL:
                 self._take_pull(frame)
@@ -120,13 +146,13 @@
             case Type.READY:
                 self._connection.send([write_readiness(frame.stream, self._pulls.is_ready())])
             case _:
-                self._unusable(0, f"an unknown type {frame.type}")
+                self.unusable(0, f"an unknown type {frame.type}")
         frame.free()
 
     def _take_pull(self, frame: Frame) -> None:
         stream = frame.stream
         if stream <= self._highest:
-            self._unusable(0, f"stream {stream} is not new")
+            self.unusable(0, f"stream {stream} is not new")
             frame.free()
             return
         self._highest = stream
@@ -135,7 +161,7 @@
                 raise Malformed("too many are open on this connection")
             order = read_order(frame)
         except Malformed as error:
-            self._unusable(stream, str(error))
+            self.unusable(stream, str(error))
             frame.free()
             return
         self._open.add(stream)
@@ -143,10 +169,16 @@
             self.shed(stream, 0.0)
             frame.free()
 
-    def _unusable(self, stream: int, why: str) -> None:
+    def unusable(self, stream: int, why: str) -> None:
+        """Tell what can't be used, take no more from it, and end it when nothing is open on it any more.
+
+        Guards the others against a client that floods, or sends the same again as soon as it is told.
+        """
         COUNTERS.add("client.bad_input")
-        logger.warning("a client sent what can't be used: {}", why)
-        self._connection.send([write_errored(stream, why)])
+        warn("a client sent what can't be used: {}", why)
+        self._ending = True
+        self._open.discard(stream)
+        self._connection.send([write_errored(stream, why)], lambda _: self._end_if_done())
 
     def served(self, stream: int, copy_holds: bool, body: Body | None) -> None:
         """Answer a pull with its bytes; they are given back when they are written or can't be."""
@@ -169,49 +201,65 @@
                 body.free()
             return
         self._open.discard(stream)
+        self.used_at = self._clock.now()
 
         def written(whole: bool) -> None:
             if body is not None:
                 body.free()
             COUNTERS.add(f"answer.{name}" if whole else "answer.not_written")
+            self._end_if_done()
 
         self._connection.send(parts, written)
-        self._end_if_done()
 
 
 class Listener:
-    """Takes in connections of clients, no more than it may hold."""
+    """Takes in connections of clients, no more than it may hold: past that the longest idle one ends."""
 
     def __init__(self, address: tuple[str, int], most: int, pool: Pool, clock: Clock, pulls: Pulls) -> None:
-        self._most, self._pool, self._clock, self._pulls = most, pool, clock, pulls
+        self.most, self._pool, self._clock, self._pulls = most, pool, clock, pulls
         self.clients: set[Client] = set()  # a client leaves when its connection has ended
-        self._left = anyio.Event()
         self._draining = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind(address)
-        self._sock.listen(most)
+        self._sock.listen(socket.SOMAXCONN)
         self._sock.setblocking(False)
 
     async def run(self, tasks: TaskGroup) -> None:
         """Accept for ever."""
         while True:
-            while len(self.clients) >= self._most:
-                self._left = anyio.Event()
-                await self._left.wait()
             await anyio.wait_readable(self._sock)
-            try:
-                sock, _ = self._sock.accept()
-            except OSError as error:
-                COUNTERS.add("client.not_accepted")
-                logger.warning("a connection was not accepted: {}", error)
-                await anyio.sleep(0.01)  # out of descriptors: those that end make room
-                continue
-            COUNTERS.add("client.accepted")
-            client = Client(sock, self._pool, self._clock, self._pulls)
-            self.clients.add(client)
-            COUNTERS.see("client.connections", len(self.clients))
-            tasks.start_soon(self._serve, client)
+            for _ in range(ACCEPTED):
+                idlest = self._idlest() if len(self.clients) >= self.most else None
+                if len(self.clients) >= self.most and idlest is None:
+                    await anyio.sleep(0.01)  # a pull is open on each: those that end make room
+                    break
+                try:
+                    sock, _ = self._sock.accept()
+                except (BlockingIOError, ConnectionAbortedError):
+                    break
+                except OSError as error:
+                    COUNTERS.add("client.not_accepted")
+                    warn("a connection was not accepted: {}", error)
+                    await anyio.sleep(0.01)  # out of descriptors: those that end make room
+                    break
+                COUNTERS.add("client.accepted")
+                if idlest is not None:
+                    COUNTERS.add("client.gave_place")
+                    self._end(idlest)
+                client = Client(sock, self._pool, self._clock, self._pulls)
+                self.clients.add(client)
+                COUNTERS.see("client.connections", len(self.clients))
+                tasks.start_soon(self._serve, client)
+
+    def _idlest(self) -> Client | None:
+        """Return the connection that has been idle longest, if there is one on which nothing is open."""
+        by_age = sorted(self.clients, key=lambda client: client.used_at)
+        return next((client for client in by_age if client.is_spare), None)
+
+    def _end(self, client: Client) -> None:
+        client.close()
+        self.clients.discard(client)  # its descriptor is free at once
 
     async def _serve(self, client: Client) -> None:
         try:
@@ -221,20 +269,23 @@
             logger.opt(exception=error).error("a client's connection failed")
         finally:
             self.clients.discard(client)
-            self._left.set()
 
-    async def end_stalled(self, longest: float) -> None:
-        """End connections that keep buffers busy for longer than any pull may take, for ever."""
+    async def end_overdue(self, longest: float) -> None:
+        """End what holds a place or buffers for longer than it may, for ever."""
         while True:
-            await anyio.sleep(longest / 1000.0 / 2.0)
+            await anyio.sleep(LOOK)
             self.make_room(longest)
+            for client in list(self.clients):
+                if client.is_overdue():
+                    COUNTERS.add("client.overdue")
+                    self._end(client)
 
     def make_room(self, longest: float) -> None:
         """End the connections that have kept buffers busy for so long: others wait for these."""
         for client in list(self.clients):
             if client.is_stalled(longest):
                 COUNTERS.add("client.stalled")
-                client.close()
+                self._end(client)
 
     def drain(self) -> None:
         """Ask all clients to send no new pull, those to come as well."""
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -46,6 +46,13 @@
         """Tell whether something waits until the other side reads."""
         return bool(self._out)
 
+    def has_input(self) -> bool:
+        """Tell whether something has come in that is still to be read."""
+        try:
+            return not self.closed and bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def send(self, parts: list[Part], done: Callable[[bool], None] | None = None) -> Outgoing:
         """Write a message, at once as far as the socket takes it."""
         message = Outgoing(parts, done)
