--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -94,10 +94,11 @@
 class Track:
     """When one part of an object was asked for lately."""
 
+    __slots__ = ("gaps", "kept_at", "last", "workload")
     def __init__(self, now: float, workload: int) -> None:
         self.last, self.workload = now, workload
         self.kept_at: tuple[Server, float] | None = None  # by which cache, and fresh until when
-        self.gaps: deque[float] = deque(maxlen=GAPS)
+        self.gaps: tuple[float, ...] = ()
 
 
 class Held:
@@ -109,15 +110,14 @@
         self.cut_off = now + pull.left
         self.sending = pull.size_kb / pace if pace else 0.0
         self.quoted_by = now + min(workload.quoted + workload.stretch * self.sending, pull.left)
-        self.relays = self.failures = 0
+        self.relays = self.failures = self.rank = 0  # the rank at which the relay out is kept
         self.out, self.open = False, True
         self.full: list[Server] = []  # turned it away, or its fill
         self.lacks: Server | None = None  # the cache that answered a look with a miss
         self.known: list[tuple[Server, bool]] = []  # who holds no copy; True: not even an ageing one
-        self.fills = self.joins = False  # whether the relay out may fill; whether a fill was under way
-        self.spurned = False  # the origin failed it
+        # Whether the relay out may fill, whether a fill was under way, and whether the origin failed it.
+        self.fills = self.joins = self.spurned = False
         self.track: Track | None = None
-        self.rank = 0  # at which the relay out is kept
         self.way: Way
         self.sent_at = self.slowed = 0.0
         self.booked: list[float] = [0.0, 0.0]
@@ -254,7 +254,7 @@
             return 0
         held.track = track
         self.tracks.move_to_end(held.wanted)
-        track.gaps.append(max(self.now - track.last, GAP_FLOOR))
+        track.gaps = (*track.gaps[1 - GAPS :], max(self.now - track.last, GAP_FLOOR))
         track.last = self.now
         size = max(pull.size_kb * 1024.0, 3.0)
         value = (2.0 + size / 536.0) / log(size) * self.tracked[track.workload] / len(self.tracks)
@@ -524,8 +524,8 @@
             self.link_full = event.load[self.settings.link_report]
             others = 1.0 - 1.0 / self._sharing(target.told)  # its own part this front knows better
             self.fills.see(others * self.link_full, self.now)
-        looked = outcome is Outcome.MISS and remark not in SOURCE_AT_FAULT
-        looked = looked and (source is target or held.way.only_held)
+        looked = source is target or held.way.only_held
+        looked = looked and outcome is Outcome.MISS and remark not in SOURCE_AT_FAULT
         if looked:
             held.known.append((source, held.way.stale))
         held.lacks = target if looked or held.lacks is target else None
@@ -584,20 +584,20 @@
             held.full.append(target)
             if remark is not Remark.NO_PLACE:
                 target.load.judge(False, self.now, proven=True)
-        elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+        elif outcome is Outcome.CONNECT_FAILED:
+            # What takes no connections is down, and cold when it is back, seconds before the list tells
+            # so. It harms where a cache that was merely full is then sent too little.
             self._strike(target)
-            if outcome is Outcome.CONNECT_FAILED:
-                # What takes no connections is down, and cold when it is back, seconds before the list tells
-                # so. It harms where a cache that was merely full is then sent too little.
-                target.started = self.now
-        elif outcome is Outcome.TIMEOUT:
-            target.load.judge(False, self.now)
-            # Silence: a machine that has vanished or stands still resets nothing and answers nothing. A slow
-            # origin or a full link delays what comes from every source: only one that stays behind while
-            # another delivers is at fault. It harms where one long answer is all that a machine works on.
+            target.started = self.now
+        elif outcome in (Outcome.RESET, Outcome.TIMEOUT):
+            # What has vanished answers nothing; a break beside answers is no illness. A slow origin or link
+            # delays all sources: one behind while another delivers is at fault (unless on one long answer).
+            if outcome is Outcome.TIMEOUT:
+                target.load.judge(False, self.now)
             if target.answered < held.sent_at:
                 self._strike(target)
-            elif max(e.answered for e in [*self._sources(held), source]) >= held.sent_at > source.answered:
+            elif outcome is Outcome.TIMEOUT and source.answered < held.sent_at <= max(
+                    e.answered for e in self._sources(held)):
                 self._strike(source)
         elif outcome in (Outcome.MISS, Outcome.ERROR, Outcome.FULL):
             target.answered = self.now
--- a/cometseam/protocol/resp.py
+++ b/cometseam/protocol/resp.py
@@ -128,6 +128,11 @@
                 self._begun = None
         return at
 
+    @property
+    def is_inside(self) -> bool:
+        """Tell whether an answer is half read."""
+        return bool(self._head) or self._begun is not None
+
     def drop(self, id: str) -> None:
         """Keep no more of this answer, if it is half read: its rest is passed over."""
         if self._begun is not None and self._begun.id == id:
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from cometseam.counters import COUNTERS, invariant
+from cometseam.counters import COUNTERS, invariant, warn
 from cometseam.mailbox import Mailbox
 from cometseam.protocol import Malformed
 from cometseam.protocol.resp import (
@@ -27,7 +27,10 @@
 from cometseam.transport.clock import Clock, Timer, Timers
 from cometseam.transport.connection import Connection, Outgoing, Part
 
-LEFT_BEHIND = 1024  # relays given up on a connection that are remembered, for answers that crossed the end
+PAST = 4  # times its streams: ids that a connection has done with and remembers, for answers that come again
+# Parts of the time that a connection may take to come up: a silence after which it is asked whether it works,
+# and how long it may take to say so.
+SILENCE, REPLY = 0.25, 0.5
 
 
 class How(StrEnum):
@@ -55,6 +58,7 @@
     channel: "Channel | None" = None
     outgoing: Outgoing | None = None
     written_at: float = 0.0  # 0: not written whole
+    again: bool = False  # the connection it was to go over broke before it was written whole
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,8 +102,10 @@
         self._peer, self._around = peer, around
         self.connection: Connection | None = None
         self.asks: dict[str, Ask] = {}  # by id; one leaves when it has ended
-        self.left: OrderedDict[str, None] = OrderedDict()  # past LEFT_BEHIND the oldest leaves
-        self.used_at = self._heard_at = 0.0
+        self.past: OrderedDict[str, bool] = OrderedDict()  # by id: given up? past PAST the oldest leaves
+        self.used_at = self._heard_at = self._busy_since = 0.0
+        self._sent = self._strays = 0  # relays written, and answers to none of those that are out
+        self._watch: Timer | None = None  # while relays are out
         self._doubted = False  # silent: nothing new is sent until it is heard of
         self._decoder = Decoder(around.pool.room)
 
@@ -111,8 +117,8 @@
         """Tell how busy it is; None: it can't take a relay of this id."""
         if self.connection is None or not self.is_usable() or len(self.asks) >= self._around.links.streams:
             return None
-        if id in self.asks or id in self.left:
-            return None  # a late answer to the earlier relay would be taken for this one's
+        if id in self.asks or (id in self.past and (self.past[id] or self._around.share > 1)):
+            return None  # a late answer to the earlier relay, or a second one, would be taken for this one's
         return self.connection.is_stuck, len(self.asks)
 
     async def run(self) -> None:
@@ -135,6 +141,8 @@
             logger.opt(exception=error).error("{}: a connection failed", self._peer.name)
         finally:
             self._decoder.close()
+            if self._watch is not None:
+                self._watch.cancel()
             self._peer.lost(self, came_up=True)
 
     async def _connect(self) -> socket.socket:
@@ -154,41 +162,79 @@
         return sock
 
     def _feed(self, data: memoryview) -> int:
-        self._heard_at, self._doubted = self._around.clock.now(), False
+        self._heard_at = self._around.clock.now()
         answers: list[Answer] = []
         taken, unusable = len(data), ""
         try:
             taken = self._decoder.feed(data, answers)
         except Malformed as error:
             unusable = str(error)
+        if answers:
+            self._doubted = False
         for answer in answers:
             ask = self.asks.get(answer.id)
             if ask is not None and answer.copy_holds and not ask.command.held_tag:
                 unusable = "a client's copy that was not told of"
             elif ask is not None:
                 del self.asks[answer.id]
+                self._remember(answer.id, given_up=False)
                 self.used_at = self._heard_at
                 self._peer.end(ask, How.ANSWERED, answer)
                 continue
             if answer.body is not None:
                 answer.body.free()
-            if answer.id in self.left:
+            if answer.id in self.past:
                 COUNTERS.add("peer.late_answer")
             elif answer.word != ALIVE:
-                unusable = f"an answer to nothing that was asked: {answer.id[:40]}"
+                # Guards the relays beside it: what nobody asked for says nothing against the others.
+                COUNTERS.add("peer.stray_answer")
+                self._strays += 1
+                if self._strays > self._sent + self._around.links.streams:
+                    unusable = "more answers than it was asked for"
         if unusable:
             COUNTERS.add("peer.bad_input")
-            logger.warning("{} sent what can't be used: {}", self._peer.name, unusable)
+            warn("{} sent what can't be used: {}", self._peer.name, unusable)
             self.close()
         self._peer.place()
         return taken
 
+    def _remember(self, id: str, given_up: bool) -> None:
+        self.past[id] = given_up
+        if len(self.past) > PAST * self._around.links.streams:
+            self.past.popitem(last=False)
+
+    def _look(self) -> None:
+        """Look whether the peer still works on what is out; it is looked at for as long as something is.
+
+        Guards against a connection that stays open and is of no more use: what is out on it would only time
+        out, each relay by itself. It harms where a peer stands still for so long and then goes on.
+        """
+        self._watch = None
+        if not self.asks or not self.is_usable() or self.connection is None:
+            return
+        silence = SILENCE * self._around.links.connect_within
+        due = max(self._heard_at, self._busy_since) + silence
+        now = self._around.clock.now()
+        if due > now or self.connection.has_input():  # what is to be read is no silence
+            self._watch = self._around.timers.at(max(due, now + silence), self._look)
+        elif self._decoder.is_inside:
+            COUNTERS.add("peer.stopped_short")
+            self.close()
+        else:
+            self._doubt()
+
     def send(self, ask: Ask) -> None:
         """Write a relay."""
         assert self.connection is not None
         now = self.used_at = self._around.clock.now()
+        if not self.asks:
+            self._busy_since = now
         self.asks[ask.command.id] = ask
         ask.channel = self
+        self._sent += 1
+        if self._watch is None:
+            silence = SILENCE * self._around.links.connect_within
+            self._watch = self._around.timers.at(now + silence, self._look)
         size = sum(len(part) for part in ask.body)
         head = write_request(ask.command, ask.due - now, size)
         parts: list[Part] = [head, *ask.body, b"\r\n"] if size else [head + b"\r\n"]
@@ -212,9 +258,7 @@
         self.asks.pop(id, None)
         self._decoder.drop(id)
         if ask.written_at:
-            self.left[id] = None
-            if len(self.left) > LEFT_BEHIND:
-                self.left.popitem(last=False)
+            self._remember(id, given_up=True)
             self.connection.send([write_stop(id)])
         if self.connection.is_stuck:
             self.close()  # a peer that takes no more bytes would hear of it too late; its end tells at once
@@ -228,8 +272,15 @@
         self._doubted = True
         COUNTERS.add("peer.doubted")
         self.connection.send([write_hello("alive")])
-        due = self._around.clock.now() + self._around.links.connect_within
-        self._around.timers.at(due, lambda: self.close() if self._doubted else None)
+        due = self._around.clock.now() + REPLY * self._around.links.connect_within
+        self._around.timers.at(due, self._end_doubt)
+
+    def _end_doubt(self) -> None:
+        if self._doubted and self.connection is not None and not self.connection.has_input():
+            COUNTERS.add("peer.silent")
+            self.close()
+        elif self.asks and self._watch is None:
+            self._look()
 
     def close(self) -> None:
         """End the connection, and with it all that is out on it."""
@@ -326,7 +377,13 @@
         self._channels.remove(channel)
         asks, channel.asks = list(channel.asks.values()), {}
         for ask in asks:
-            self.end(ask, How.BROKEN if ask.written_at else How.UNCONNECTED)
+            if ask.written_at:
+                self.end(ask, How.BROKEN)
+            elif ask.again:
+                self.end(ask, How.UNSENT)
+            else:  # a connection that breaks when new or idle tells nothing of the peer: it takes another
+                ask.channel, ask.outgoing, ask.again = None, None, True
+                self._waiting.append(ask)
         if came_up:
             self.place()
         elif not any(channel.is_usable() for channel in self._channels):
