--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -110,7 +110,7 @@
         self.cut_off = now + pull.left
         self.sending = pull.size_kb / pace if pace else 0.0
         self.quoted_by = now + min(workload.quoted + workload.stretch * self.sending, pull.left)
-        self.relays = self.failures = self.rank = 0  # the rank at which the relay out is kept
+        self.relays = self.failures = self.errors = self.rank = 0  # the rank at which the relay out is kept
         self.out, self.open = False, True
         self.full: list[Server] = []  # turned it away, or its fill
         self.lacks: Server | None = None  # the cache that answered a look with a miss
@@ -309,7 +309,9 @@
         """Tell where the pull may go, best first."""
         edges = sorted(self.edges, key=lambda edge: self._draw(held.wanted, edge), reverse=True)
         well = [edge for edge in edges if self._well(edge) and edge not in held.full]
-        well = [edge for edge in well if not held.failures or edge.credit >= 1.0]
+        # Pulls that no cache can use may come by the hundred: trying them again leaves others half the credit.
+        least = 0.5 * MOST_CREDIT * held.errors or float(held.failures > 0)
+        well = [edge for edge in well if edge.credit >= least]
         if held.lacks in well:
             yield from self._fills(held, held.lacks)
             # Before it is shed, a neighbour that it spilled to earlier may hold it: a look costs little.
@@ -398,8 +400,7 @@
     def _send(self, held: Held, way: Way, rank: int) -> bool:
         """Send one relay, or bar it."""
         s, pull = self.settings, held.pull
-        target, source = way.target, way.source
-        left = held.cut_off - self.now
+        target, source, left = way.target, way.source, held.cut_off - self.now
         # Pulls get one answer in time, and nothing after it.
         if not held.open or held.out or left <= 0 or held.relays >= s.relay_limit:
             return False
@@ -518,8 +519,7 @@
             self.held.pop(event.id, None)
 
     def _learn(self, held: Held, event: Ended) -> None:
-        target, source = held.way.target, held.way.source
-        outcome, remark = event.outcome, event.remark
+        target, source, outcome, remark = held.way.target, held.way.source, event.outcome, event.remark
         if self.settings.link_report < len(event.load) and target in self.edges:
             self.link_full = event.load[self.settings.link_report]
             others = 1.0 - 1.0 / self._sharing(target.told)  # its own part this front knows better
@@ -532,6 +532,7 @@
         held.joins = looked and remark is Remark.JOINED
         held.spurned = held.spurned or remark is Remark.ORIGIN_FAILED
         held.failures += outcome is not Outcome.OK and not looked
+        held.errors += outcome is Outcome.ERROR and remark is Remark.NONE
         if remark is Remark.HIT:
             held.booked[1] = 0.0  # the source was not asked; one that answers that it lacks the copy was
         kept = held.track.kept_at if held.track and not held.way.stale else None
@@ -607,8 +608,7 @@
 
     def _good(self, server: Server) -> None:
         server.answered = self.now
-        server.strikes = 0
-        server.sick_until = 0.0
+        server.strikes, server.sick_until = 0, 0.0
         server.credit = min(server.credit + CREDIT, MOST_CREDIT)
 
     def _strike(self, server: Server) -> None:
--- a/cometseam/transport/clock.py
+++ b/cometseam/transport/clock.py
@@ -11,6 +11,9 @@
 from cometseam.counters import COUNTERS
 
 
+GRID = 4.0  # ms within which what comes due is done in one turn of the loop; deadlines have 50
+
+
 class Clock:
     """Unix time in milliseconds that never goes back."""
 
@@ -54,7 +57,7 @@
         """Have something done at a time."""
         timer = Timer(due, run)
         heappush(self._heap, (due, next(self._order), timer))
-        if due < self._waits_for:
+        if due < self._waits_for - GRID:
             self._sooner.set()
         return timer
 
@@ -71,7 +74,7 @@
                 except Exception as error:
                     COUNTERS.add("timer.exception")
                     logger.opt(exception=error).error("a timer failed")
-            self._waits_for = self._heap[0][0] if self._heap else now + 60000.0
+            self._waits_for = max(self._heap[0][0], now + GRID) if self._heap else now + 60000.0
             self._sooner = anyio.Event()
             with anyio.move_on_after(max(self._waits_for - self._clock.now(), 0.0) / 1000.0):
                 await self._sooner.wait()
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -267,3 +267,32 @@
         drive.tell(i.Members(i.ListKind.FULL, ()))
         drive.pull(9)
         drive.check(f"odd_{fronts}_{zone}")
+
+
+def test_what_caches_answer_with_errors_is_not_sent_round_all_of_them() -> None:
+    drive = Drive()
+    drive.pull(1, wanted=4)
+    drive.end(1, i.Outcome.ERROR, i.Remark.NONE)  # nothing was earned yet
+    for number in range(2, 80):
+        drive.pull(number, wanted=number)
+        drive.end(number)
+    for number in (80, 81):
+        drive.pull(number)
+        drive.end(number, i.Outcome.ERROR, i.Remark.NONE)
+        if number == 80:
+            drive.end(number, i.Outcome.ERROR, i.Remark.NONE)
+    drive.trace = drive.trace[:2] + drive.trace[-5:]
+    drive.check("errors")
+
+
+def test_a_break_beside_answers_is_no_illness_and_one_in_silence_is() -> None:
+    drive = Drive(caches=(11, *PARENTS, ORIGIN))
+    for number in (1, 2):
+        drive.pull(number, wanted=5)
+    drive.end(2)
+    drive.end(1, i.Outcome.RESET, i.Remark.NONE)  # the cache answered beside it
+    drive.pull(3, wanted=5)
+    drive.end(3, i.Outcome.RESET, i.Remark.NONE)  # and now it does not
+    drive.tell(i.Members(i.ListKind.CHANGES, (line(12),)))
+    drive.pull(4, wanted=5)
+    drive.check("breaks")
