--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -1,7 +1,8 @@
 """What the decision module is told and what it asks for: settings, events, actions and outcomes.
 
 Times are milliseconds with fractions. Ids of pulls, caches and objects are whole numbers chosen by
-the other side. Nothing in this file decides anything.
+the other side. Nothing in this file decides anything. What is made for every pull is not frozen, as that
+makes it several times as dear; nobody changes it.
 """
 
 from dataclasses import dataclass
@@ -139,7 +140,7 @@
     entries: tuple[Listed, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Pull:
     """A client wants one part of an object; the front now owes one final answer."""
 
@@ -160,7 +161,7 @@
     id: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Ended:
     """A relay has ended."""
 
@@ -210,7 +211,7 @@
 Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Relay:
     """Ask `cache` for the copy; where it lacks one it fills from `source` (itself: it does not fill)."""
 
@@ -226,7 +227,7 @@
     oldest: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Shed:
     """Final answer: not done, and trying again is harmless."""
 
@@ -234,7 +235,7 @@
     come_back_in: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Error:
     """Final answer: not done, and nothing is promised about what ran."""
 
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -112,6 +112,7 @@
         self.quoted_by = now + min(workload.quoted + workload.stretch * self.sending, pull.left)
         self.relays = self.failures = self.errors = self.rank = 0  # the rank at which the relay out is kept
         self.out, self.open = False, True
+        self.drawn: list[Server] = []  # its caches, in hash order
         self.full: list[Server] = []  # turned it away, or its fill
         self.lacks: Server | None = None  # the cache that answered a look with a miss
         self.known: list[tuple[Server, bool]] = []  # who holds no copy; True: not even an ageing one
@@ -307,9 +308,10 @@
 
     def _ways(self, held: Held) -> Iterator[Way]:
         """Tell where the pull may go, best first."""
-        edges = sorted(self.edges, key=lambda edge: self._draw(held.wanted, edge), reverse=True)
+        draws = held.drawn = held.drawn or sorted(self.edges, key=lambda e: -self._draw(held.wanted, e))
+        edges = [edge for edge in draws if edge in self.edges]
         well = [edge for edge in edges if self._well(edge) and edge not in held.full]
-        # Pulls that no cache can use may come by the hundred: trying them again leaves others half the credit.
+        # Pulls that no cache can use may come by the hundred: others keep half the credit.
         least = 0.5 * MOST_CREDIT * held.errors or float(held.failures > 0)
         well = [edge for edge in well if edge.credit >= least]
         if held.lacks in well:
@@ -326,11 +328,8 @@
         # Overload: what cannot be answered by its quoted time would only slow down the others. Where all are
         # crowded the order stays the hash's: the least crowded of late would keep copies everywhere.
         fit = room + [edge for edge in well if edge not in room and self._in_time(held, edge.load)]
-        for edge in fit:
+        for edge in fit if well or held.failures else edges:  # nothing is well: better a try than none
             yield from self._at(held, edge)
-        if not well and not held.failures:
-            for edge in edges:  # nothing is well: better a try than none
-                yield from self._at(held, edge)
 
     def _at(self, held: Held, edge: Server) -> Iterator[Way]:
         # A look tells what the cache holds, so which pulls are fills. A cold cache is not asked twice.
@@ -516,6 +515,7 @@
         if held.open:
             self._advance(held, event)
         else:
+            held.course.close()
             self.held.pop(event.id, None)
 
     def _learn(self, held: Held, event: Ended) -> None:
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -1,5 +1,6 @@
 """Puts the parts together, and sees them through signals to the end."""
 
+import gc
 import signal
 
 import anyio
@@ -20,6 +21,7 @@
 # clients' clocks; it is killed no sooner than 700 ms after the longest cut-off, of which 3 s count at most.
 KILLED_PAST, MOST_CUT_OFF = 700.0, 3000.0
 POOL_PART = 2  # of the memory that the interpreter leaves, what goes to buffers
+UNSEEN = 20000  # objects made and not freed between two looks for cycles
 TURN = 10.0  # ms between two looks at what is still owed
 SAMPLE = 50.0  # ms between two looks at the loop's lag
 
@@ -37,6 +39,10 @@
     # Where buffers run short, a client that takes nothing for as long as a peer may take to connect goes.
     pool.on_short = lambda: listener.make_room(config.links.connect_within)
     log = ChangeLog(config.changelog, config.last, config.names, router.change)
+    # What is there now stays, and pulls leave next to nothing in cycles: looking for those often is waste.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(UNSEEN)
     async with anyio.create_task_group() as tasks:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
             router.change(list(config.known))
--- a/cometseam/protocol/frames.py
+++ b/cometseam/protocol/frames.py
@@ -31,7 +31,7 @@
     ERRORED = 3
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Frame:
     """One frame; its payload lies in `room`, or is small and came in one piece."""
 
@@ -139,7 +139,7 @@
     return write_frame(Type.ANSWER, stream, bytes((code,)) + write_fields(fields), more)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Order:
     """What a client asks for."""
 
--- a/cometseam/protocol/resp.py
+++ b/cometseam/protocol/resp.py
@@ -22,7 +22,7 @@
 }  # fmt: skip
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Command:
     """A relay as it is written, without its body."""
 
@@ -40,7 +40,7 @@
     held_tag: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Answer:
     """One answer of a cache; `copy_holds`: the client's copy is the one, and no bytes come."""
 
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -41,7 +41,7 @@
     timer: Timer | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Out:
     """The relay of a pull that is out."""
 
@@ -50,7 +50,7 @@
     peer: Peer | None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Taken:
     """A pull has come in."""
 
@@ -60,7 +60,7 @@
     at: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Left:
     """A client no longer waits for a stream."""
 
--- a/cometseam/transport/clock.py
+++ b/cometseam/transport/clock.py
@@ -10,7 +10,6 @@
 
 from cometseam.counters import COUNTERS
 
-
 GRID = 4.0  # ms within which what comes due is done in one turn of the loop; deadlines have 50
 
 
@@ -22,7 +21,9 @@
 
     def now(self) -> float:
         """Tell the time."""
-        self._last = max(self._last, time.time() * 1000.0)
+        now = time.time() * 1000.0
+        if now > self._last:
+            self._last = now
         return self._last
 
 
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -61,7 +61,7 @@
     again: bool = False  # the connection it was to go over broke before it was written whole
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class GiveUp:
     """Stop waiting for a relay, or take it back only if nothing of it is written yet."""
 
@@ -69,7 +69,7 @@
     if_unsent: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class End:
     """A relay has ended."""
 
@@ -115,11 +115,12 @@
 
     def load(self, id: str) -> tuple[bool, int] | None:
         """Tell how busy it is; None: it can't take a relay of this id."""
-        if self.connection is None or not self.is_usable() or len(self.asks) >= self._around.links.streams:
+        connection, out = self.connection, len(self.asks)
+        if connection is None or connection.closed or self._doubted or out >= self._around.links.streams:
             return None
         if id in self.asks or (id in self.past and (self.past[id] or self._around.share > 1)):
             return None  # a late answer to the earlier relay, or a second one, would be taken for this one's
-        return self.connection.is_stuck, len(self.asks)
+        return connection.is_stuck, out
 
     async def run(self) -> None:
         """Connect, and read answers until the connection ends."""
@@ -344,27 +345,28 @@
         """Give what waits to connections; bring another up where all that are open are at work."""
         if not self._waiting:
             return
-        now = self.around.clock.now()
-        for channel in list(self._channels):
-            # A peer closes what is idle: what is written just then would be lost.
-            if channel.connection and not channel.asks and now - channel.used_at > self._longest_idle():
+        # A peer closes what is idle: what is written just then would be lost.
+        links = self.around.links
+        fresh = self.around.clock.now() - (links.idle - links.connect_within)
+        for channel in self._channels[:]:
+            if not channel.asks and channel.connection and channel.used_at < fresh:
                 channel.close()
-        waiting, self._waiting = self._waiting, []
+        waiting, self._waiting, share = self._waiting, [], self.around.share
         for ask in waiting:
-            loads = [(load, place) for place, channel in enumerate(self._channels)
-                     if (load := channel.load(ask.command.id)) is not None]  # fmt: skip
-            busy = min(loads)[0] >= (False, self.around.links.streams // 8) if loads else True
-            coming = any(channel.connection is None for channel in self._channels)
-            if busy and not coming and len(self._channels) < self.around.share:
+            best: Channel | None = None
+            least, coming = (True, links.streams), False
+            for channel in self._channels:
+                load = channel.load(ask.command.id)
+                if load is not None and load < least:
+                    best, least = channel, load
+                coming = coming or channel.connection is None
+            if least >= (False, links.streams // 8) and not coming and len(self._channels) < share:
                 self._open()
-            if loads:
-                self._channels[min(loads)[1]].send(ask)
+            if best is not None:
+                best.send(ask)
             else:
                 self._waiting.append(ask)
 
-    def _longest_idle(self) -> float:
-        return self.around.links.idle - self.around.links.connect_within
-
     def _open(self) -> None:
         assert self._tasks is not None
         channel = Channel(self, self.around)
