Tell the module how late its front is, so that it sheds early; no asks to struck parents

The module did not know of its own front's lateness (program._sample only counted it). Changed: an event Lagged tells the loop's lag 20 times a second; the module takes it off the quoted time and lets no pull go on past it while the front is late.

--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -208,7 +208,14 @@
     age: float
 
 
-Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged
+@dataclass(frozen=True, slots=True)
+class Lagged:
+    """The front itself comes so much later to what is due, in ms: its core is busy or shared."""
+
+    by: float
+
+
+Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged
 
 
 @dataclass(slots=True)
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from cometseam.interface import (
-    Action, Effect, Ended, Error, Event, Group, HungUp, Lifecycle, Listed, ListKind, Members, Outcome,
+    Action, Effect, Ended, Error, Event, Group, HungUp, Lagged, Lifecycle, Listed, ListKind, Members, Outcome,
     Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch, Workload,
 )  # fmt: skip
 
@@ -25,6 +25,7 @@
 FIRST_CREDIT, CREDIT, MOST_CREDIT = 1.0, 0.2, 10.0  # at the start, for each good answer, at most
 LEAST_LIMIT, UNSIZED_LIMIT = 2.0, 8.0  # relays out at a cache: at least, and at first with sizes untold
 CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
+WEARS = 0.9  # what still counts of a front's own lateness when it is told anew
 COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.55  # share of the quoted time that a pull may take at a cache before it spills to the next
 CERTAIN = 0.65  # share of the quoted time that a pull may be expected to take and still be begun
@@ -147,7 +148,7 @@
         self.here = max(by_zone[zone] if 0 <= zone < len(by_zone) else settings.fronts, 1)  # fronts here
         self.lasts: float = CROWD_LASTS * self.here**0.5
         self.random = Random(seed)
-        self.now = 0.0
+        self.now = self.late = 0.0  # late: how much this front was of late, what is old counting less
         self.fills = self.fetches = Limit(0.0, 0.0)  # through the zone's link; from the origin; set by a list
         self.actions: list[Action] = []
         self.held: dict[int, Held] = {}  # a pull leaves when it is answered and none of its relays is out
@@ -158,8 +159,7 @@
         self.tracks: OrderedDict[int, Track] = OrderedDict()  # past TRACKED the longest unasked leaves
         self.tracked = [0] * len(settings.workloads)
         self.values: deque[float] = deque(maxlen=VALUES)
-        self.cuts = [0.0, 0.0]
-        self.uncut = 0
+        self.cuts, self.uncut = [0.0, 0.0], 0
         self.link_full = float("inf")  # transfers on the zone's link over those that fit, as last told
         self.usual_wait = 100.0  # ms to a fetched copy's first byte
         self.mean_sending = [workload.quoted for workload in settings.workloads]
@@ -175,6 +175,8 @@
                 self._ended(event)
             case Rang():
                 self.actions.append(Watch())  # the only timer is for asking for the list again
+            case Lagged():
+                self.late = max(event.by, WEARS * self.late)
             case Members():
                 self._members(event)
             case HungUp() if event.id in self.held:
@@ -275,6 +277,7 @@
             self.actions.append(Error(pull.id))
             return
         held = Held(pull, self.settings.workloads[pull.workload], self.now, self.settings.pace)
+        held.quoted_by -= self.late  # a late front answers late: what cannot be in time is shed early
         self.mean_sending[pull.workload] += 0.02 * (held.sending - self.mean_sending[pull.workload])
         self.held[pull.id] = held
         held.course = self._course(held)
@@ -355,12 +358,12 @@
             taking = (self.usual_wait + held.sending) * self.fetches.crowded(self.now)
             soon = taking <= held.quoted_by - self.now and self.fetches.out + 1 <= self.fetches.size
             soon = soon or not self._is_cacheable(held)
-            for source in sources:
+            for e in sources:
                 # With many fronts a source's link is full long before a front's own limit tells.
-                if soon and self._in_time(held, source.load):
-                    yield Way(edge, source)
-                elif not soon and source is not self.origin and (source, False) not in held.known:
-                    yield Way(edge, source, only_held=True)
+                if soon and self._in_time(held, e.load):
+                    yield Way(edge, e)
+                elif not (soon or e is self.origin or (e, False) in held.known) and self._well(e):
+                    yield Way(edge, e, only_held=True)
         yield from ageing
 
     def _is_cacheable(self, held: Held) -> bool:
@@ -373,7 +376,8 @@
         large = max(held.sending / max(self.mean_sending[held.pull.workload], 1.0), 1.0) ** 0.5
         unsure = 1.0 + UNSURE * (1.0 - 1.0 / self.here)
         taking: float = held.sending * (1.0 + (limit.stretch(self.now) - 1.0) * large * unsure)
-        idle = limit.out + 1 <= IDLE * limit.size and limit.crowded(self.now) <= 1.0 + IDLE
+        crowd = limit.crowded(self.now) + self.late / SLACK
+        idle = limit.out + 1 <= IDLE * limit.size and crowd <= 1.0 + IDLE
         return taking <= CERTAIN * ((held.cut_off if idle else held.quoted_by) - self.now)
 
     def _sources(self, held: Held) -> list[Server]:
@@ -429,8 +433,7 @@
         held.fills = source is not target and not held.joins
         for limit in self._limits(held):
             limit.out += 1
-        if held.failures:
-            target.credit -= 1.0
+        target.credit -= float(held.failures > 0)
         held.maybe = held.maybe or (self.now, target.told, held.relays)
         held.relays += 1
         slowing = self.fills if held.fills else target.load
@@ -438,10 +441,8 @@
         time_out = left
         if held.workload.effect is not Effect.ONCE_ONLY:
             time_out = min(left, PATIENCE * held.sending * held.slowed + LATE)
-        self.actions.append(
-            Relay(pull.id, target.told.cache, source.told.cache, rank, s.joins, way.only_held,
-                  False, False, time_out, oldest)
-        )  # fmt: skip
+        self.actions.append(Relay(pull.id, target.told.cache, source.told.cache, rank, s.joins, way.only_held,
+                                  False, False, time_out, oldest))  # fmt: skip
         return True
 
     def _limits(self, held: Held) -> list[Limit]:
@@ -458,8 +459,7 @@
     def _may_repeat(self, held: Held, target: Server) -> bool:
         """Tell whether a pull that may have run may go to this cache as well."""
         assert held.maybe is not None
-        at, first, _ = held.maybe
-        workload = held.workload
+        (at, first, _), workload = held.maybe, held.workload
         if workload.effect is not Effect.TAGGED:
             return workload.effect is Effect.REPEATABLE
         same_zone = workload.group is Group.ALL or target.told.zone == first.zone
@@ -607,8 +607,7 @@
                 self._good(source)
 
     def _good(self, server: Server) -> None:
-        server.answered = self.now
-        server.strikes, server.sick_until = 0, 0.0
+        server.answered, server.strikes, server.sick_until = self.now, 0, 0.0
         server.credit = min(server.credit + CREDIT, MOST_CREDIT)
 
     def _strike(self, server: Server) -> None:
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -50,7 +50,7 @@
                 tasks.start_soon(actor)
             tasks.start_soon(listener.run, tasks)
             tasks.start_soon(listener.end_overdue, config.links.longest_cut_off)
-            tasks.start_soon(_sample, clock)
+            tasks.start_soon(_sample, clock, router)
             logger.info("{} listens at {}:{}", config.name, *config.listen)
             async for number in signals:
                 if number == signal.SIGTERM:
@@ -97,13 +97,14 @@
     await anyio.sleep(TURN / 1000.0)
 
 
-async def _sample(clock: Clock) -> None:
-    """Measure how late the loop comes to what is due."""
+async def _sample(clock: Clock, router: Router) -> None:
+    """Measure how late the loop comes to what is due, and have the module told."""
     while True:
         for _ in range(20):
             due = clock.now() + SAMPLE
             await anyio.sleep(SAMPLE / 1000.0)
             lag = clock.now() - due
+            router.lag(lag)
             COUNTERS.see("loop_lag_ms", lag)
             COUNTERS.add("loop_lag.looks")
             COUNTERS.add("loop_lag.over_a_tenth", int(lag > 0.1 * SAMPLE))
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -68,7 +68,7 @@
     stream: int
 
 
-Message = Taken | Left | End | list[Change] | i.Rang
+Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged
 
 
 class Router:
@@ -116,6 +116,10 @@
         """Take in events of the change log."""
         self._mailbox.put_urgent(changes)
 
+    def lag(self, by: float) -> None:
+        """The front comes so much later to what is due."""
+        self._mailbox.put_urgent(i.Lagged(by))  # told a few times a second
+
     def _report(self, end: End) -> None:
         self._mailbox.put_urgent(end)  # as many as there are relays out, at most
 
@@ -145,7 +149,7 @@
                     COUNTERS.add("pull.hung_up")
                     self._settle(pull)
                     self._decide(i.HungUp(pull.number))
-            case i.Rang():
+            case i.Rang() | i.Lagged():
                 self._decide(message)
             case _:
                 for change in message:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -296,3 +296,25 @@
     drive.tell(i.Members(i.ListKind.CHANGES, (line(12),)))
     drive.pull(4, wanted=5)
     drive.check("breaks")
+
+
+def test_a_front_that_is_late_itself_sheds_early_what_cannot_be_in_time() -> None:
+    drive = Drive()
+    for number, late in enumerate((0.0, 400.0, 0.0), 1):
+        drive.tell(i.Lagged(late))
+        drive.pull(number)
+    for _ in range(20):
+        drive.tell(i.Lagged(0.0), after=50.0)  # it wears off
+    drive.pull(4)
+    drive.check("late")
+
+
+def test_a_struck_parent_is_not_asked_for_what_it_holds() -> None:
+    drive = Drive(caches=(11, *PARENTS, ORIGIN))
+    drive.front.usual_wait = 1e6  # the origin is slow: parents give what they hold
+    drive.pull(1)
+    drive.lack(1)
+    drive.end(1, i.Outcome.MISS, i.Remark.SOURCE_BROKE)
+    drive.pull(2)
+    drive.lack(2)
+    drive.check("struck_parent")
