--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -314,9 +314,8 @@
         draws = held.drawn = held.drawn or sorted(self.edges, key=lambda e: -self._draw(held.wanted, e))
         edges = [edge for edge in draws if edge in self.edges]
         well = [edge for edge in edges if self._well(edge) and edge not in held.full]
-        # Pulls that no cache can use may come by the hundred: others keep half the credit.
-        least = 0.5 * MOST_CREDIT * held.errors or float(held.failures > 0)
-        well = [edge for edge in well if edge.credit >= least]
+        # A pull that two caches answer with an error is at fault itself: it is not sent round all of them.
+        well = [edge for edge in well if not held.failures or (edge.credit >= 1.0 and held.errors < 2)]
         if held.lacks in well:
             yield from self._fills(held, held.lacks)
             # Before it is shed, a neighbour that it spilled to earlier may hold it: a look costs little.
