--- a/cometseam/counters.py
+++ b/cometseam/counters.py
@@ -5,6 +5,7 @@
 import resource
 import time
 from collections import Counter
+from contextlib import suppress
 
 from loguru import logger
 
@@ -35,7 +36,8 @@
     def sample(self) -> None:
         """Look at what the process takes."""
         self.see("memory_mb", resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0)
-        self.see("descriptors", len(os.listdir("/proc/self/fd")))
+        with suppress(OSError):  # there may be no descriptor left to look with
+            self.see("descriptors", len(os.listdir("/proc/self/fd")))
 
     def print(self, why: str, peers: list[str]) -> None:
         """Write all of them to the log, and what is counted for each peer."""
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -236,6 +236,7 @@
                     break
                 try:
                     sock, _ = self._sock.accept()
+                    client = Client(sock, self._pool, self._clock, self._pulls)
                 except (BlockingIOError, ConnectionAbortedError):
                     break
                 except OSError as error:
@@ -247,7 +248,6 @@
                 if idlest is not None:
                     COUNTERS.add("client.gave_place")
                     self._end(idlest)
-                client = Client(sock, self._pool, self._clock, self._pulls)
                 self.clients.add(client)
                 COUNTERS.see("client.connections", len(self.clients))
                 tasks.start_soon(self._serve, client)
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -30,7 +30,7 @@
 PAST = 4  # times its streams: ids that a connection has done with and remembers, for answers that come again
 # Parts of the time that a connection may take to come up: a silence after which it is asked whether it works,
 # and how long it may take to say so.
-SILENCE, REPLY = 0.25, 0.5
+SILENCE, REPLY = 0.5, 0.5
 
 
 class How(StrEnum):
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -1,27 +1,30 @@
 """The actors in this process: what is owed is answered whatever fails, what is unsent is decided again."""
 
 import socket
+import time
 from collections.abc import Callable
 from typing import Any, cast
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute, SocketStream
 
 from cometseam import interface as i
 from cometseam.config import Config, decode
 from cometseam.logic import Front
 from cometseam.mailbox import Mailbox
+from cometseam.program import _sample
 from cometseam.protocol.changelog import Change, Listing, Purge
 from cometseam.protocol.frames import Frame, Order
 from cometseam.protocol.resp import Command
 from cometseam.reading import Section
 from cometseam.routing.actor import Router, Taken
 from cometseam.routing.translate import Roster
-from cometseam.transport.buffers import Pool
+from cometseam.transport.buffers import SIZE, Pool
 from cometseam.transport.client import Client
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.peer import Ask, Channel, End, GiveUp, How, Peer, Surroundings
-from tests.drive import SAMPLE, News
+from tests.drive import SAMPLE, News, resp
 
 pytestmark = pytest.mark.anyio
 CONFIG: Config = decode(Section(SAMPLE), Section({}))
@@ -244,6 +247,78 @@
     listener.close()
 
 
+async def test_what_was_not_written_whole_when_a_connection_broke_takes_another() -> None:
+    ends: list[End] = []
+    news, here, size, served = News(), around(), 1 << 24, 0
+
+    def report(end: End) -> None:
+        ends.append(end)
+        news.tell()
+
+    async def serve(stream: SocketStream) -> None:
+        nonlocal served
+        served += 1
+        got = 0
+        while got < (size if served == 2 else 1):
+            got += len(await stream.receive())
+        if served == 2:
+            await stream.send(resp("0" * 16, "LACK", "-", b""))
+            await anyio.sleep_forever()
+        await stream.aclose()
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = ("127.0.0.1", listener.extra(SocketAttribute.local_port))
+    peer = Peer("p", address, here, report, Mailbox(2))
+    command = Command("0" * 16, "maps", "7" * 16, 0, "", 0, 0.0, False, False, False, False, "")
+    now = here.clock.now()
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            for actor in (peer.run, here.timers.run):
+                tasks.start_soon(actor)
+            tasks.start_soon(listener.serve, serve)
+            assert peer.mailbox.offer(Ask(1, 0, command, [memoryview(bytes(size))], now, now + 9000.0))
+            await news.until(lambda: ends)
+            assert ends[0].how is How.ANSWERED and served == 2
+            tasks.cancel_scope.cancel()
+
+
+async def test_the_module_is_told_how_late_the_loop_is() -> None:
+    told: list[i.Lagged] = []
+    news = News()
+
+    class Noting(Front):
+        def handle(self, now: float, event: i.Event) -> list[i.Action]:
+            if isinstance(event, i.Lagged):
+                told.append(event)
+                news.tell()
+            return super().handle(now, event)
+
+    actor = router(Noting(1, CONFIG.settings))
+
+    async def test() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_sample, actor._around.clock, actor)
+            await anyio.lowlevel.checkpoint()
+            time.sleep(0.2)  # the loop stands still
+            await news.until(lambda: any(event.by >= 100.0 for event in told))
+            tasks.cancel_scope.cancel()
+
+    await run(actor, test)
+
+
+def test_a_pool_takes_over_another_bound_while_buffers_are_lent() -> None:
+    pool = Pool(32 * SIZE)
+    first, second = pool.room(20 * SIZE), pool.room(12 * SIZE)
+    assert first and second and pool.room(1) is None
+    pool.resize(16 * SIZE)
+    second.free()
+    assert pool.room(1) is None and pool.out == 20
+    first.free()
+    assert pool.out == 0 and pool.room(17 * SIZE) is None and pool.room(16 * SIZE)
+    pool.resize(17 * SIZE)
+    assert pool.room(1)
+
+
 async def test_a_mailbox_is_bounded_and_lets_what_is_urgent_pass() -> None:
     box: Mailbox[int] = Mailbox(2)
     assert box.offer(1) and box.offer(2) and not box.offer(3)
