--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -37,7 +37,8 @@
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
 FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
-LATE, PATIENCE = 600.0, 4.0  # a relay times out so many ms past so many times its expected time
+LATE, LOOK_LATE = 600.0, 200.0  # ms past PATIENCE times its expected time at which a fill, a look times out
+PATIENCE = 4.0
 NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
 SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE)
 WORD = (1 << 64) - 1
@@ -439,7 +440,8 @@
         held.slowed = max(slowing.out / slowing.size, 1.0)
         time_out = left
         if held.workload.effect is not Effect.ONCE_ONLY:
-            time_out = min(left, PATIENCE * held.sending * held.slowed + LATE)
+            late = LATE if source is not target else LOOK_LATE
+            time_out = min(left, PATIENCE * held.sending * held.slowed + late)
         self.actions.append(Relay(pull.id, target.told.cache, source.told.cache, rank, s.joins, way.only_held,
                                   False, False, time_out, oldest))  # fmt: skip
         return True
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -314,3 +314,11 @@
     drive.pull(2)
     drive.lack(2)
     drive.check("struck_parent")
+
+
+def test_a_look_times_out_sooner_than_the_fill_after_it() -> None:
+    drive = Drive()
+    drive.pull(1)
+    look = drive.last[1].time_out
+    drive.lack(1)
+    assert drive.last[1].time_out >= look + 300.0  # it waits for no source
