--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -24,8 +24,8 @@
 RECUT = 50  # values between two cuts
 FIRST_CREDIT, CREDIT, MOST_CREDIT = 1.0, 0.2, 10.0  # at the start, for each good answer, at most
 LEAST_LIMIT, UNSIZED_LIMIT = 2.0, 8.0  # relays out at a cache: at least, and at first with sizes untold
-CUT, CUT_PAUSE = 0.8, 500.0  # what is left of a limit that is cut, and ms between two cuts
-WEARS = 0.9  # what still counts of a front's own lateness when it is told anew
+CUT, CUT_PAUSE, WEARS = 0.8, 500.0, 0.9  # left of a limit that is cut, ms between two; left of lateness
+ERRS, ERRING = 0.1, 0.3  # weight of one answer in a cache's share of errors, and from where that is illness
 COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
 SPILL = 0.55  # share of the quoted time that a pull may take at a cache before it spills to the next
 CERTAIN = 0.65  # share of the quoted time that a pull may be expected to take and still be begun
@@ -37,8 +37,7 @@
 SLACK = 100.0  # ms past the time expected of a transfer before its link is held to be fuller than thought
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
 FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
-LATE, LOOK_LATE = 600.0, 200.0  # ms past PATIENCE times its expected time at which a fill, a look times out
-PATIENCE = 4.0
+LATE, LOOKS, PATIENCE = 600.0, 200.0, 4.0  # ms past PATIENCE times its own time when a fill, a look times out
 NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
 SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE)
 WORD = (1 << 64) - 1
@@ -88,7 +87,7 @@
         self.told, self.weight, self.started = told, weight, told.ready_at
         self.load, self.credit = limit, FIRST_CREDIT
         self.answered = self.sick_until = 0.0
-        self.loss = 0.0  # share of what it kept that looks find gone, lately
+        self.loss = self.errs = 0.0  # share of what it kept that looks find gone, and of errors, lately
         self.strikes = 0
         self.spent: deque[list[float]] = deque()  # [time, work] sent; what is older than a window leaves
 
@@ -376,8 +375,7 @@
         large = max(held.sending / max(self.mean_sending[held.pull.workload], 1.0), 1.0) ** 0.5
         unsure = 1.0 + UNSURE * (1.0 - 1.0 / self.here)
         taking: float = held.sending * (1.0 + (limit.stretch(self.now) - 1.0) * large * unsure)
-        crowd = limit.crowded(self.now) + self.late / SLACK
-        idle = limit.out + 1 <= IDLE * limit.size and crowd <= 1.0 + IDLE
+        idle = limit.out + 1 <= IDLE * limit.size and limit.crowded(self.now) + self.late / SLACK <= 1 + IDLE
         return taking <= CERTAIN * ((held.cut_off if idle else held.quoted_by) - self.now)
 
     def _sources(self, held: Held) -> list[Server]:
@@ -438,19 +436,15 @@
         held.relays += 1
         slowing = self.fills if held.fills else target.load
         held.slowed = max(slowing.out / slowing.size, 1.0)
-        time_out = left
-        if held.workload.effect is not Effect.ONCE_ONLY:
-            late = LATE if source is not target else LOOK_LATE
-            time_out = min(left, PATIENCE * held.sending * held.slowed + late)
+        time_out = PATIENCE * held.sending * held.slowed + (LOOKS if source is target else LATE)
+        time_out = left if held.workload.effect is Effect.ONCE_ONLY else min(left, time_out)
         self.actions.append(Relay(pull.id, target.told.cache, source.told.cache, rank, s.joins, way.only_held,
                                   False, False, time_out, oldest))  # fmt: skip
         return True
 
     def _limits(self, held: Held) -> list[Limit]:
         """Tell which limits the relay that is out counts against."""
-        limits = [held.way.target.load]
-        if held.way.source is not held.way.target:
-            limits.append(held.way.source.load)
+        limits = [server.load for server in dict.fromkeys((held.way.target, held.way.source))]
         if held.fills:
             limits.append(self.fills)
             if not held.way.only_held:
@@ -490,8 +484,7 @@
 
     def _answer(self, held: Held) -> None:
         """Give the final answer: shed where trying again is harmless, else errored."""
-        held.open = False
-        workload = held.workload
+        held.open, workload = False, held.workload
         dropped = workload.effect is Effect.TAGGED and workload.group is Group.ALL  # a repeat is known
         if held.maybe is None or workload.effect is Effect.REPEATABLE or dropped:
             back = min(workload.quoted, self.settings.longest_retry) if self.settings.tells_retry else 0.0
@@ -533,15 +526,16 @@
         held.joins = looked and remark is Remark.JOINED
         held.spurned = held.spurned or remark is Remark.ORIGIN_FAILED
         held.failures += outcome is not Outcome.OK and not looked
-        held.errors += outcome is Outcome.ERROR and remark is Remark.NONE
+        faulty = outcome is Outcome.ERROR and remark is Remark.NONE
+        held.errors += faulty
+        target.errs += ERRS * (faulty - target.errs) * (outcome in (Outcome.OK, Outcome.MISS, Outcome.ERROR))
         if remark is Remark.HIT:
             held.booked[1] = 0.0  # the source was not asked; one that answers that it lacks the copy was
         kept = held.track.kept_at if held.track and not held.way.stale else None
         if kept and kept[0] is target is source and kept[1] > self.now and (looked or remark is Remark.HIT):
             target.loss += 0.02 * (looked - target.loss)
         if held.track and outcome is Outcome.OK and held.rank:
-            fresh = held.workload.fresh
-            held.track.kept_at = (target, self.now + fresh if fresh else float("inf"))
+            held.track.kept_at = (target, self.now + (held.workload.fresh or float("inf")))
         fetched = remark is Remark.FILLED_FROM_ORIGIN
         sent_in = event.took - event.waited if held.fills else event.took
         at_pace = outcome is Outcome.OK and sent_in <= held.sending * held.slowed + SLACK
@@ -606,6 +600,11 @@
             target.credit = min(target.credit + CREDIT, MOST_CREDIT)
             if looked and source is not target:
                 self._good(source)
+            if faulty:
+                held.full.append(target)
+                # What errs while others do not is ill, and quick: all that is hashed to it would fail.
+                if target.errs > ERRING > min((edge.errs for edge in self.edges), default=1.0):
+                    self._strike(target)
 
     def _good(self, server: Server) -> None:
         server.answered, server.strikes, server.sick_until = self.now, 0, 0.0
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -322,3 +322,15 @@
     look = drive.last[1].time_out
     drive.lack(1)
     assert drive.last[1].time_out >= look + 300.0  # it waits for no source
+
+
+def test_a_cache_that_errs_while_others_do_not_is_passed_over() -> None:
+    drive = Drive()
+    for number in range(1, 20):
+        drive.pull(number, wanted=number)
+        ill = drive.last[number].cache == 12
+        outcome = i.Outcome.ERROR if ill else i.Outcome.OK
+        drive.end(number, outcome, i.Remark.NONE if ill else i.Remark.HIT, after=20.0)
+        if ill and drive.last[number].cache != 12:
+            drive.end(number, after=20.0)
+    drive.check("erring")
