--- a/cometseam/__main__.py
+++ b/cometseam/__main__.py
@@ -1,32 +1,50 @@
-"""Starts the front."""
+"""Starts the front, or with words on the command line one of the commands of `cometseam.cli`."""
 
 import sys
 
 import anyio
-from loguru import logger
 
-from cometseam.config import read_config
+from cometseam.config import OPERATOR_VARIABLE, read_config
+from cometseam.events import to_stderr
+from cometseam.operator import Compiled, Refused
 from cometseam.program import run
 from cometseam.reading import Faulty
 
 
-def main() -> int:
-    """Run until SIGTERM; a configuration that can't be used ends it with one line and status 2."""
+def serve() -> int:
+    """Run until SIGTERM; what can't be used of the configuration ends it with a line each and status 2."""
+    compiled: Compiled | None = None
     try:
         config = read_config()
     except Faulty as error:
         print(f"cometseam: configuration: {error}", file=sys.stderr)
         return 2
-    logger.remove()
-    logger.add(sys.stderr, level=config.log_level, backtrace=False, diagnose=False,
-               format="{time:HH:mm:ss.SSS} {level} {message}")  # fmt: skip
+    if config.operator is not None:
+        from cometseam.operator.load import load_apart
+
+        try:
+            compiled = load_apart(config.operator, config.told)
+        except Refused as refused:
+            for fault in refused.faults:
+                print(f"cometseam: {OPERATOR_VARIABLE}: {fault}", file=sys.stderr)
+            return 2
+    to_stderr(config.log_level, config.log_form)
     try:
-        anyio.run(run, config, backend_options={"use_uvloop": True})
+        anyio.run(run, config, compiled, backend_options={"use_uvloop": True})
     except OSError as error:
         print(f"cometseam: {config.listen[0]}:{config.listen[1]}: {error.strerror}", file=sys.stderr)
         return 1
     return 0
 
 
+def main() -> int:
+    """Serve; the command line is imported only where there is one, since serving needs none of it."""
+    if len(sys.argv) == 1:
+        return serve()
+    from cometseam.cli import run_commands
+
+    return run_commands()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/cometseam/cli/show.py
@@ -0,0 +1,155 @@
+"""What `render` and `explain` print, as plain values."""
+
+from typing import Any
+
+from cometseam.interface import Kind, Plan
+from cometseam.operator.compile import ANYWHERE, Compiler, Entry
+from cometseam.operator.load import Loaded
+from cometseam.operator.networks import told as addresses
+from cometseam.timing.pace import longest_wait, spread
+from cometseam.timing.prove import KINDS, NAMES
+from cometseam.timing.sets import Intervals
+from cometseam.timing.table import AXES, ENDS, KB, Sight, holds
+
+OWN = "as the module decides"
+
+
+def _leaves(plan: Plan) -> dict[str, Any]:
+    """Return the leaves of a plan by their key in the file."""
+    out: dict[str, Any] = {}
+    for kind in Kind:
+        for place, name in enumerate(("first", "further")):
+            span = plan.time_outs[kind][place]
+            if span is not None:
+                text = f"{span.base:g}ms + {span.part:g} of its sending time"
+            else:
+                text = OWN if place == 0 or plan.time_outs[kind][0] is None else "as first"
+            out[f"time_outs.{KINDS[kind]}.{name}"] = text
+    out["relays"] = plan.relays or OWN
+    jitter = f", jitter {plan.jitter:g}"
+    out["wait"] = (
+        f"{plan.wait:g}ms, growth {plan.growth:g}, most {plan.longest_wait:g}ms{jitter}"
+        if plan.wait
+        else "none"
+    )
+    second = plan.second
+    out["second"] = f"after {second.base:g}ms + {second.part:g} of its sending time" if second else "none"
+    out["retry_on"] = "all" if plan.worth is None else ", ".join(sorted(NAMES[word] for word in plan.worth))
+    terms = plan.allowance
+    out["budget"] = (
+        f"{terms.name}: {terms.share:g} of first relays in {terms.window:g}ms, {terms.floor:g} at least"
+        if terms
+        else "none"
+    )
+    out["later"] = f"{plan.come_back_in:g}ms" if plan.come_back_in else "the workload's quoted time"
+    return out
+
+
+def _from(entry: Entry, key: str) -> str:
+    while key:
+        if key in entry.origins:
+            return entry.origins[key]
+        key = key.rpartition(".")[0]
+    return ANYWHERE
+
+
+def rendered(compiler: Compiler) -> list[dict[str, Any]]:
+    """Return each entry with all its values and where each came from."""
+    names = compiler.platform.names.workloads
+    return [
+        {
+            "route": entry.name,
+            "workload": names[entry.workload],
+            "values": [
+                {"key": key, "value": value, "from": _from(entry, key)}
+                for key, value in _leaves(entry.plan).items()
+            ],
+        }
+        for entry in compiler.entries
+    ]
+
+
+def _wanted(axis: int, intervals: Intervals, names: tuple[str, ...]) -> str:
+    if AXES[axis] == "workload":
+        return ", ".join(names[number] for low, high in intervals for number in range(low, high))
+    if AXES[axis] == "address":
+        return addresses(intervals)
+    if AXES[axis] == "object":
+        return ", ".join(f"{low:016x}-{high - 1:016x}" for low, high in intervals[:3])
+    if AXES[axis] == "size":
+        return ", ".join(
+            f"{low / KB:g} KB" + ("" if high == ENDS[axis] else f" to {high / KB:g} KB")
+            for low, high in intervals
+        )
+    return ", ".join(f"{low}" if high == low + 1 else f"{low}-{high - 1}" for low, high in intervals[:3])
+
+
+def explained(loaded: Loaded, sight: Sight, kb: float) -> dict[str, Any]:
+    """Return the route taken, why the earlier ones did not match, and the longest course of the relays."""
+    compiler: Compiler = loaded.compiler
+    table, names = loaded.compiled.table, compiler.platform.names.workloads
+    found = table.find(sight)
+    passed: list[dict[str, str]] = []
+    last = compiler.entries[: found if found >= 0 else None]
+    for entry in last:
+        why = next(
+            f"{AXES[axis]} is not in {_wanted(axis, intervals, names)}"
+            for axis, intervals in enumerate(entry.box)
+            if not holds(intervals, sight[axis])
+        )
+        passed.append({"route": entry.name, "why": why})
+    steps: list[dict[str, Any]] = []
+    budgets: dict[str, str] = {}
+    if found >= 0:
+        plan = compiler.entries[found].plan
+        steps = course(plan, compiler, sight.workload, kb)
+        plans = loaded.compiled.plans
+        network = table.network(sight.address)
+        theirs = plans.networks[network] if network >= 0 else None
+        for terms in (plans.front, theirs, plan.allowance):
+            if terms is not None:
+                budgets[terms.name] = (
+                    f"{terms.share:g} of first relays in {terms.window:g}ms, {terms.floor:g} at least"
+                )
+    return {
+        "route": compiler.entries[found].name if found >= 0 else None,
+        "passed_over": passed,
+        "budgets": budgets,
+        "steps": steps,
+    }
+
+
+def course(plan: Plan, compiler: Compiler, workload: int, kb: float) -> list[dict[str, Any]]:
+    """Return the longest course of a pull: each relay up to its time-out, each wait at its longest."""
+    settings = compiler.platform.settings
+    rules = settings.workloads[workload]
+    sending = kb / settings.pace if settings.pace else 0.0
+    quoted = min(rules.quoted + rules.stretch * sending, rules.cut_off)
+    steps: list[dict[str, Any]] = []
+    at = 0.0
+
+    def step(what: str) -> None:
+        steps.append({"from": round(at, 3), "what": what})
+
+    for number in range(plan.relays or settings.relay_limit):
+        if number and (rest := longest_wait(plan, number)):
+            step(f"wait up to {rest:g} ms")
+            at += rest
+        if at + sending > rules.cut_off:
+            step("given up at once: nothing could come before the cut-off")
+            return steps
+        times = []
+        for kind in Kind:
+            span = plan.time_outs[kind][int(number > 0)] or plan.time_outs[kind][0]
+            if span is not None:
+                times.append((spread(span, sending), KINDS[kind]))
+        told = ", ".join(f"{name} until {at + time:g}" for time, name in times) or f"time-outs {OWN}"
+        step(f"relay {number + 1}: {told}")
+        if plan.second is not None and number + 1 < (plan.relays or settings.relay_limit):
+            after = spread(plan.second, sending)
+            step(f"  given up at {at + after:g} for a second copy elsewhere, where one may go")
+        if not times:
+            break
+        at += max(time for time, _ in times)
+    step(f"at the latest; quoted time {quoted:g} ms, cut-off {rules.cut_off:g} ms, sending {sending:g} ms")
+    return steps
--- a/cometseam/config.py
+++ b/cometseam/config.py
@@ -3,13 +3,17 @@
 import json
 import os
 from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
 
 from cometseam.interface import Settings
 from cometseam.protocol.changelog import Change, Unusable, read_address, read_changes
 from cometseam.reading import Faulty, Section
 from cometseam.settings import Links, Names, read_links, read_names, read_settings
 
-VARIABLE, LOG_VARIABLE = "ROUTER_CONFIG", "COMETSEAM_LOG"
+VARIABLE, LOG_VARIABLE, FORM_VARIABLE = "ROUTER_CONFIG", "COMETSEAM_LOG", "COMETSEAM_LOG_FORMAT"
+OPERATOR_VARIABLE = "COMETSEAM_OPERATOR"
+LOG_FORMS = {"text": "text", "json": "json"}
 LOG_LEVELS = {level: level for level in ("DEBUG", "INFO", "WARNING", "ERROR")}
 # Clients hold a third of the descriptors at most: half leaves place for those that only hold connections.
 CLIENTS_PART, PEERS_PART = 2, 3
@@ -32,6 +36,9 @@
     names: Names
     links: Links
     log_level: str
+    log_form: str
+    operator: Path | None  # the operator's file
+    told: dict[str, Any]  # the settings as they were given: what the operator's file is checked against
 
     def needs_restart(self, new: "Config") -> list[str]:
         """Tell the keys in which a new configuration differs and that are read at the start only."""
@@ -84,4 +91,7 @@
         names=names,
         links=read_links(settings),
         log_level=environment.one_of(LOG_VARIABLE, LOG_LEVELS, "INFO"),
+        log_form=environment.one_of(FORM_VARIABLE, LOG_FORMS, "text"),
+        operator=Path(path) if (path := environment.text(OPERATOR_VARIABLE, "")) else None,
+        told=settings.values,
     )
--- a/cometseam/counters.py
+++ b/cometseam/counters.py
@@ -3,12 +3,9 @@
 import math
 import os
 import resource
-import time
 from collections import Counter
 from contextlib import suppress
 
-from loguru import logger
-
 
 def memory_taken() -> int:
     """Tell how many bytes the process takes now, without what it shares with files."""
@@ -39,31 +36,15 @@
         with suppress(OSError):  # there may be no descriptor left to look with
             self.see("descriptors", len(os.listdir("/proc/self/fd")))
 
-    def print(self, why: str, peers: list[str]) -> None:
-        """Write all of them to the log, and what is counted for each peer."""
+    def all(self) -> dict[str, int | float]:
+        """Return all of them, counts first."""
         self.sample()
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.most["cpu_s"] = usage.ru_utime + usage.ru_stime
-        lines = [f"{name}={count}" for name, count in sorted(self.counts.items())]
-        lines += [f"{name}={value:.1f}" for name, value in sorted(self.most.items())]
-        for peer in peers:
-            logger.info("peer ({}): {}", why, peer)
-        logger.info("counters ({}): {}", why, " ".join(lines))
+        return {**dict(sorted(self.counts.items())), **dict(sorted(self.most.items()))}
 
 
 COUNTERS = Counters()
-QUIET = 1.0  # s in which one line of a kind is logged
-_logged: dict[str, float] = {}  # when a kind was last logged; as many as there are texts in the program
-
-
-def warn(text: str, *values: object) -> None:
-    """Log a warning that the other side may cause at will: one line of a kind in a while, all counted."""
-    now = time.monotonic()
-    if now - _logged.get(text, -QUIET) >= QUIET:
-        _logged[text] = now
-        logger.warning(text, *values)
-    else:
-        COUNTERS.add("log.left_out")
 
 
 def invariant(holds: bool, name: str) -> None:
--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import IntEnum, StrEnum
+from typing import NamedTuple
 
 
 class Outcome(IntEnum):
@@ -119,6 +120,58 @@
     purge_takes: float
 
 
+class Kind(IntEnum):
+    """What a relay is for: it looks at what a cache holds, has it fill, or passes by what is kept."""
+
+    LOOK = 0
+    FILL = 1
+    DIRECT = 2
+
+
+class Span(NamedTuple):
+    """A time that goes with the size of a pull: `base` ms, and `part` times the pull's own sending time."""
+
+    base: float
+    part: float
+
+
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """How many further relays may go: a share of first ones over a sliding window, and a floor."""
+
+    name: str
+    share: float  # further relays for each first one
+    window: float  # ms
+    floor: float  # further relays in a window whatever the share comes to
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What the operator sets for the pulls of a route; what is None the module decides as without a plan."""
+
+    name: str = ""
+    # By `Kind`: for the first relay of a pull, and for further ones after a failure.
+    time_outs: tuple[tuple[Span | None, Span | None], ...] = ((None, None),) * 3
+    relays: int | None = None  # that may fail; looks that are answered with a miss are not among them
+    wait: float = 0.0  # ms before the first further relay
+    growth: float = 1.0
+    longest_wait: float = 0.0
+    jitter: float = 0.0  # part of a wait that is added at most
+    second: Span | None = None  # when a relay out is given up for another elsewhere, where one may go
+    worth: frozenset[Outcome] | None = None  # the outcomes after which a further relay goes
+    come_back_in: float | None = None  # ms told with a shed pull
+    allowance: Allowance | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Plans:
+    """The operator's plans from now on; pulls that are open keep theirs. A pull names its plan by place."""
+
+    plans: tuple[Plan, ...]
+    networks: tuple[Allowance | None, ...] = ()  # of the networks of clients that a pull may name
+    front: Allowance | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Listed:
     """One line of the list of caches; parents and the origin are lines of it too."""
@@ -152,6 +205,8 @@
     write: bool
     size_kb: float
     group: int
+    plan: int = -1  # by place in the last `Plans`; -1: none
+    network: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,7 +270,7 @@
     by: float
 
 
-Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged
+Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged | Plans
 
 
 @dataclass(slots=True)
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -13,9 +13,10 @@
 from typing import NamedTuple
 
 from cometseam.interface import (
-    Action, Effect, Ended, Error, Event, Group, HungUp, Lagged, Lifecycle, Listed, ListKind, Members, Outcome,
-    Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch, Workload,
+    Action, Effect, Ended, Error, Event, Group, HungUp, Kind, Lagged, Lifecycle, Listed, ListKind, Members,
+    Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch, Workload,
 )  # fmt: skip
+from cometseam.timing import Ledger, goes_on, second_after, time_out, wait
 
 TRACKED = 6000  # objects' parts whose requests are remembered
 GAPS = 6  # gaps remembered for each of them
@@ -41,6 +42,7 @@
 NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
 SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE)
 WORD = (1 << 64) - 1
+MARK, RESTS = 16, 0xFFFF  # a timer's mark: the pull's id, and its relays when it was set or that it rests
 
 
 def mix(wanted: int, cache: int) -> int:
@@ -105,8 +107,10 @@
 class Held:
     """A pull that is owed its final answer, or whose relay is still out."""
 
-    def __init__(self, pull: Pull, workload: Workload, now: float, pace: float) -> None:
+    def __init__(self, pull: Pull, workload: Workload, now: float, pace: float, plans: Ledger) -> None:
         self.pull, self.workload = pull, workload
+        self.plan, self.account = plans.of(pull.plan, pull.network)  # the operator's; kept when new ones come
+        self.resting: Ended | None = None  # what it goes on with after a wait
         self.wanted = pull.object << 16 | pull.part  # a copy is a copy of one part, and hashed as such
         self.cut_off = now + pull.left
         self.sending = pull.size_kb / pace if pace else 0.0
@@ -164,6 +168,7 @@
         self.usual_wait = 100.0  # ms to a fetched copy's first byte
         self.mean_sending = [workload.quoted for workload in settings.workloads]
         self.purged: dict[tuple[int, int], tuple[float, float]] = {}  # made, void; a new one clears these
+        self.plans = Ledger(Plans(()))
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take in one event and tell what to do."""
@@ -173,8 +178,12 @@
                 self._take(event)
             case Ended():
                 self._ended(event)
-            case Rang():
-                self.actions.append(Watch())  # the only timer is for asking for the list again
+            case Rang() if event.mark == 0:
+                self.actions.append(Watch())  # to ask for the list again; other marks are those of pulls
+            case Rang() if event.mark >> MARK in self.held:
+                self._rang(self.held[event.mark >> MARK], event.mark)
+            case Plans():
+                self.plans = Ledger(event, self.plans)
             case Lagged():
                 self.late = max(event.by, WEARS * self.late)
             case Members():
@@ -276,7 +285,7 @@
         if pull.workload >= len(self.settings.workloads) or pull.id in self.held:
             self.actions.append(Error(pull.id))
             return
-        held = Held(pull, self.settings.workloads[pull.workload], self.now, self.settings.pace)
+        held = Held(pull, self.settings.workloads[pull.workload], self.now, self.settings.pace, self.plans)
         held.quoted_by -= self.late  # a late front answers late: what cannot be in time is shed early
         self.mean_sending[pull.workload] += 0.02 * (held.sending - self.mean_sending[pull.workload])
         self.held[pull.id] = held
@@ -408,6 +417,10 @@
         # No effect happens twice.
         if held.maybe and not self._may_repeat(held, target):
             return False
+        # An outage is not multiplied: where a plan sets budgets, a further relay goes only within each.
+        further = held.failures > 0
+        if further and not held.account.has_room(self.now):
+            return False
         # Drains are kept: only what the list has as ready is in the table.
         if any(self.servers.get(server.told.cache) is not server for server in (target, source)):
             return False
@@ -431,17 +444,38 @@
         held.fills = source is not target and not held.joins
         for limit in self._limits(held):
             limit.out += 1
-        target.credit -= float(held.failures > 0)
+        target.credit -= float(further)
+        held.account.count(self.now, further, held.relays)
         held.maybe = held.maybe or (self.now, target.told, held.relays)
         held.relays += 1
         slowing = self.fills if held.fills else target.load
         held.slowed = max(slowing.out / slowing.size, 1.0)
-        time_out = PATIENCE * held.sending * held.slowed + (LOOKS if source is target else LATE)
-        time_out = left if held.workload.effect is Effect.ONCE_ONLY else min(left, time_out)
+        lasts = PATIENCE * held.sending * held.slowed + (LOOKS if source is target else LATE)
+        lasts = left if held.workload.effect is Effect.ONCE_ONLY else lasts
+        kind = Kind.LOOK if source is target else Kind.FILL if self._is_cacheable(held) else Kind.DIRECT
+        lasts = min(left, time_out(held.plan, kind, further, held.sending, lasts))
         self.actions.append(Relay(pull.id, target.told.cache, source.told.cache, rank, s.joins, way.only_held,
-                                  False, False, time_out, oldest))  # fmt: skip
+                                  False, False, lasts, oldest))  # fmt: skip
+        if s.recalls and (second := second_after(held.plan, held.sending)) < lasts:
+            self.actions.append(Wake(pull.id << MARK | held.relays, second))
         return True
 
+    def _rang(self, held: Held, mark: int) -> None:
+        """Go on after a wait; or give the relay out up for a second copy, where one may go elsewhere.
+
+        Guards against a cache that is slow and not ill; harms where all are slow alike: so budgets bound it.
+        """
+        if held.resting is not None and mark == held.pull.id << MARK | RESTS:
+            resting, held.resting = held.resting, None
+            self._advance(held, resting)
+        elif held.open and held.out and mark == held.pull.id << MARK | held.relays:
+            target, worth = held.way.target, goes_on(held.plan, held.failures + 1, Outcome.CANCELLED)
+            others = [e for e in self.edges if e not in (target, *held.full) and self._may_repeat(held, e)]
+            others = [e for e in others if self._well(e) and e.credit >= 1.0]
+            if worth and others and held.account.has_room(self.now):
+                held.full.append(target)
+                self.actions.append(Recall(held.pull.id, held.relays - 1))
+
     def _limits(self, held: Held) -> list[Limit]:
         """Tell which limits the relay that is out counts against."""
         limits = [server.load for server in dict.fromkeys((held.way.target, held.way.source))]
@@ -463,13 +497,10 @@
 
     def _cold(self, server: Server) -> float:
         """Tell the work that a cold server may get in a window that began before now; 0 where it is warm."""
-        s, told = self.settings, server.told
-        age = self.now - server.started
-        cold_from, warm_after, multiple = (
-            (s.parent_cold_from, s.parent_warm_after, s.parent_fall_multiple)
-            if told.kind == s.parent_kind
-            else (s.cold_from, s.warm_after, s.fall_multiple)
-        )
+        s, told, age = self.settings, server.told, self.now - server.started
+        cold_from, warm_after, multiple = s.cold_from, s.warm_after, s.fall_multiple
+        if told.kind == s.parent_kind:
+            cold_from, warm_after, multiple = s.parent_cold_from, s.parent_warm_after, s.parent_fall_multiple
         if server.started <= 0 or age >= warm_after or told.kind == s.origin_kind:
             return 0.0
         share = cold_from + (1.0 - cold_from) * max(age - s.fall_time, 0.0) / warm_after
@@ -487,8 +518,8 @@
         held.open, workload = False, held.workload
         dropped = workload.effect is Effect.TAGGED and workload.group is Group.ALL  # a repeat is known
         if held.maybe is None or workload.effect is Effect.REPEATABLE or dropped:
-            back = min(workload.quoted, self.settings.longest_retry) if self.settings.tells_retry else 0.0
-            self.actions.append(Shed(held.pull.id, back))
+            back = min(held.plan.come_back_in or workload.quoted, self.settings.longest_retry)
+            self.actions.append(Shed(held.pull.id, back if self.settings.tells_retry else 0.0))
         else:
             self.actions.append(Error(held.pull.id))
 
@@ -501,11 +532,20 @@
         held.out = False
         for limit in self._limits(held):
             limit.out -= 1
+        failures = held.failures
         self._learn(held, event)
         if event.outcome in NEVER_RAN and held.maybe and held.maybe[2] == event.relay:
             held.maybe = None
         if event.closed or event.outcome is Outcome.OK:
             held.open = False
+        if held.open and held.failures > failures:
+            rest = wait(held.plan, held.failures, self.random)
+            if not goes_on(held.plan, held.failures, event.outcome) or rest + self.now > held.cut_off:
+                held.course.close()  # given up, and told at once
+            elif rest > 0.0:
+                held.resting = event
+                self.actions.append(Wake(event.id << MARK | RESTS, rest))
+                return
         if held.open:
             self._advance(held, event)
         else:
--- /dev/null
+++ b/cometseam/operator/compiled.py
@@ -0,0 +1,107 @@
+"""What a front holds of the operator's file: plans, routes as a tree, networks with a budget.
+
+It is written as JSON by the process that read and checked the file, and decoded here without any of the
+libraries that checking takes.
+"""
+
+import json
+from dataclasses import asdict, dataclass, fields
+from typing import Any
+
+from cometseam.interface import Allowance, Outcome, Plan, Plans, Span
+from cometseam.timing import Table
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Why a file can't be used: where, and the one plain reason."""
+
+    path: str  # of the key, as in `routes[3].plan.relays`
+    reason: str
+    place: str = ""  # file:line, where it can be known
+
+    def __str__(self) -> str:
+        where = f"{self.place}: " if self.place else ""
+        return f"{where}{self.path}: {self.reason}" if self.path else f"{where}{self.reason}"
+
+
+class Refused(ValueError):
+    """The operator's file can't be used; `faults` holds each reason, one at least."""
+
+    def __init__(self, faults: list[Fault]) -> None:
+        super().__init__("; ".join(str(fault) for fault in faults))
+        self.faults = faults
+
+
+@dataclass(frozen=True, slots=True)
+class Compiled:
+    """What serving needs; `digest` tells one text of the file and its imports from another."""
+
+    digest: str
+    plans: Plans
+    names: tuple[str, ...]  # of the routes, in order
+    table: Table
+
+
+def _allowance(value: Any) -> Allowance | None:
+    return None if value is None else Allowance(**value)
+
+
+def _span(value: Any) -> Span | None:
+    return None if value is None else Span(*value)
+
+
+def plan_to_json(plan: Plan) -> dict[str, Any]:
+    """Return a plan as plain values."""
+    values = {field.name: getattr(plan, field.name) for field in fields(plan)}
+    values["worth"] = None if plan.worth is None else sorted(plan.worth)
+    values["allowance"] = None if plan.allowance is None else asdict(plan.allowance)
+    return values
+
+
+def plan_from_json(values: dict[str, Any]) -> Plan:
+    """Return the plan that such values stand for."""
+    values = dict(values)
+    values["time_outs"] = tuple((_span(first), _span(later)) for first, later in values["time_outs"])
+    values["second"] = _span(values["second"])
+    values["worth"] = None if values["worth"] is None else frozenset(map(Outcome, values["worth"]))
+    values["allowance"] = _allowance(values["allowance"])
+    return Plan(**values)
+
+
+def write(compiled: Compiled, networks: list[Any]) -> bytes:
+    """Return what a front decodes; `networks` holds the intervals of each network with a budget."""
+    plans, table = compiled.plans, compiled.table
+    text = {
+        "digest": compiled.digest,
+        "plans": [plan_to_json(plan) for plan in plans.plans],
+        "allowances": [None if terms is None else asdict(terms) for terms in plans.networks],
+        "front": None if plans.front is None else asdict(plans.front),
+        "names": compiled.names,
+        "routes": table.routes,
+        "nodes": table.nodes,
+        "leaves": table.leaves,
+        "networks": networks,
+    }
+    return json.dumps(text).encode()
+
+
+def _intervals(values: Any) -> tuple[tuple[int, int], ...]:
+    return tuple((low, high) for low, high in values)
+
+
+def read(text: bytes) -> Compiled:
+    """Decode what `write` wrote."""
+    values = json.loads(text)
+    plans = Plans(
+        tuple(plan_from_json(plan) for plan in values["plans"]),
+        tuple(_allowance(terms) for terms in values["allowances"]),
+        _allowance(values["front"]),
+    )
+    table = Table(
+        tuple((plan, tuple(_intervals(axis) for axis in box)) for plan, box in values["routes"]),
+        tuple(tuple(node) for node in values["nodes"]),
+        tuple(tuple(leaf) for leaf in values["leaves"]),
+        tuple(_intervals(network) for network in values["networks"]),
+    )
+    return Compiled(values["digest"], plans, tuple(values["names"]), table)
--- /dev/null
+++ b/cometseam/operator/evaluate.py
@@ -0,0 +1,164 @@
+"""Evaluates a Jsonnet file within bounds of time, memory, depth and size, and remembers what was read.
+
+Imports stay within the folder of the file; what is read is read once and must be the same at the end. The
+bounds hold for a process of its own (`bound`): a file that loops or makes a gigabyte ends that process and
+nothing else.
+"""
+
+import hashlib
+import json
+import os
+import resource
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import _jsonnet
+
+from cometseam.operator.compiled import Fault, Refused
+
+MOST_BYTES = 1 << 20  # of one file
+MOST_FILES = 64
+MOST_TEXT = 16 << 20  # bytes of the JSON that the file comes to
+DEPTH = 200  # calls within calls
+TIME = 1.2  # s
+MEMORY = 96 << 20  # bytes beyond what the process held
+
+
+@dataclass(frozen=True, slots=True)
+class Evaluated:
+    """The value of a file, and the texts that it came from, by path from its folder."""
+
+    value: Any
+    main: str
+    sources: dict[str, str]
+    digest: str
+
+
+class Reader:
+    """Reads each file once, and tells at the end whether one was replaced meanwhile."""
+
+    def __init__(self, path: Path) -> None:
+        self.folder = Path(os.path.realpath(path)).parent
+        self.texts: dict[Path, bytes] = {}
+        self._seen: dict[Path, tuple[int, int, int]] = {}
+
+    def read(self, path: Path) -> bytes:
+        """Read a file of the folder."""
+        real = Path(os.path.realpath(path))
+        if real in self.texts:
+            return self.texts[real]
+        if not real.is_relative_to(self.folder):
+            raise ValueError(f"import {path.name!r}: outside the folder of the file")
+        if len(self.texts) >= MOST_FILES:
+            raise ValueError(f"more than {MOST_FILES} files are imported")
+        with open(real, "rb") as file:
+            before = os.fstat(file.fileno())
+            if not os.path.isfile(real):
+                raise ValueError(f"{path.name}: no file")
+            text = file.read(MOST_BYTES + 1)
+            after = os.fstat(file.fileno())
+        if len(text) > MOST_BYTES:
+            raise ValueError(f"{path.name}: larger than {MOST_BYTES >> 20} MB")
+        if _identity(before) != _identity(after) or len(text) != after.st_size:
+            raise ValueError(f"{path.name}: changed while it was read")
+        self.texts[real], self._seen[real] = text, _identity(after)
+        return text
+
+    def verify(self) -> None:
+        """Raise where a file is no longer the one that was read: half of an old set and half of a new one."""
+        for path, seen in self._seen.items():
+            try:
+                now = _identity(os.stat(path))
+            except OSError:
+                now = (0, 0, 0)
+            if now != seen:
+                raise ValueError(f"{path.name}: changed while the file was read")
+
+
+def _identity(status: os.stat_result) -> tuple[int, int, int]:
+    return status.st_ino, status.st_size, status.st_mtime_ns
+
+
+def evaluate(path: Path) -> Evaluated:
+    """Evaluate a file; what is wrong is `Refused`. Within `bound` where the file is not to be trusted."""
+    reader = Reader(path)
+
+    def load(folder: str, name: str) -> tuple[str, bytes]:
+        if os.path.isabs(name):
+            raise ValueError(f"import {name!r}: outside the folder of the file")
+        found = Path(folder or reader.folder) / name
+        return str(found), reader.read(found)
+
+    try:
+        main = Path(os.path.realpath(path))
+        source = reader.read(main).decode()
+        text = _jsonnet.evaluate_snippet(
+            str(main), source, import_callback=load, max_stack=DEPTH, max_trace=4
+        )
+        if len(text) > MOST_TEXT:
+            raise ValueError(f"it comes to more than {MOST_TEXT >> 20} MB")
+        value = json.loads(text, parse_constant=_no_constant)
+        reader.verify()
+    except OSError as error:
+        raise Refused([Fault("", f"{path}: {error.strerror}")]) from error
+    except UnicodeDecodeError as error:
+        raise Refused([Fault("", f"{path}: not UTF-8")]) from error
+    except RecursionError as error:
+        raise Refused([Fault("", f"{path}: nested too deeply")]) from error
+    except MemoryError as error:
+        raise Refused([Fault("", f"{path}: it took too much memory")]) from error
+    except ValueError as error:
+        raise Refused([Fault("", str(error))]) from error
+    except RuntimeError as error:
+        raise Refused([_fault(str(error), str(reader.folder))]) from error
+    digest = hashlib.blake2b(digest_size=8)
+    for name, content in sorted(reader.texts.items()):
+        digest.update(str(name.relative_to(reader.folder)).encode() + b"\0" + content + b"\0")
+    sources = {
+        str(name.relative_to(reader.folder)): content.decode(errors="replace")
+        for name, content in reader.texts.items()
+    }
+    return Evaluated(value, main.name, sources, digest.hexdigest())
+
+
+def _no_constant(word: str) -> Any:
+    raise ValueError(f"{word}: a finite number was expected")
+
+
+def _fault(text: str, folder: str) -> Fault:
+    """Return the one line that matters of what the evaluation says, with its place."""
+    lines = [line.strip() for line in text.strip().splitlines()]
+    why = lines[0]
+    for word in ("STATIC ERROR: ", "RUNTIME ERROR: "):
+        why = why.removeprefix(word)
+    place = ""
+    for line in [why, *lines[1:]]:
+        at = line.find(folder + "/")
+        if at >= 0:
+            place = line[at + len(folder) + 1 :].split("\t")[0].split(" ")[0].rstrip(":")
+            break
+    name, _, rest = place.partition(":")
+    line_number = rest.lstrip("(").split(":")[0].split("-")[0]
+    if why.startswith(f"{folder}/{name}:"):
+        why = why.split(": ", 1)[-1]
+    why = why.replace(folder + "/", "")
+    return Fault("", why, f"{name}:{line_number}" if line_number.isdigit() else name)
+
+
+def bound(memory: int = MEMORY, time: float = TIME) -> None:
+    """Bound this process: past `time` s an alarm ends it, past `memory` bytes more it gets none."""
+    with open("/proc/self/statm") as file:
+        data = int(file.read().split()[5]) * resource.getpagesize()
+    resource.setrlimit(resource.RLIMIT_DATA, (data + memory, resource.RLIM_INFINITY))
+    resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+    signal.signal(signal.SIGALRM, signal.SIG_DFL)
+    signal.setitimer(signal.ITIMER_REAL, time)
+
+
+def release() -> None:
+    """End the bounds that `bound` set."""
+    signal.setitimer(signal.ITIMER_REAL, 0.0)
+    _, most = resource.getrlimit(resource.RLIMIT_DATA)
+    resource.setrlimit(resource.RLIMIT_DATA, (most, most))
--- /dev/null
+++ b/cometseam/operator/load.py
@@ -0,0 +1,129 @@
+"""Loads the operator's file: here, for commands that only look at it; in a child, for a front that serves.
+
+The child evaluates within bounds of time and memory and checks all; whatever the file does to it, the front
+only hears that it was refused.
+"""
+
+import json
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from cometseam.operator.compiled import Compiled, Fault, Refused, read
+
+EVALUATION = 1.8  # s for the child to come up and evaluate
+CHECKS = 20.0  # s for all, the tree over ten thousand routes included
+MOST = 64 << 20  # bytes that a child may write
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """A file that can be used, with all that `render` and `explain` tell of it."""
+
+    compiled: Compiled
+    compiler: Any  # `compile.Compiler`; a front never holds one
+    networks: list[Any]
+
+
+def load(path: Path, settings: dict[str, Any]) -> Loaded:
+    """Evaluate and check a file here; `settings` is the object of that name in the configuration."""
+    from cometseam.operator.compile import Compiler, Platform
+    from cometseam.operator.evaluate import evaluate
+    from cometseam.operator.locate import locate
+    from cometseam.operator.schema import fault, form
+    from cometseam.reading import Section
+    from cometseam.settings import read_links, read_names, read_settings
+
+    section = Section(settings, "settings")
+    platform = Platform(read_settings(section), read_names(section), read_links(section))
+    evaluated = evaluate(path)
+
+    def tell(found: list[tuple[tuple[str | int, ...], str]]) -> Refused:
+        faults = []
+        for key, reason in found:
+            line = locate(evaluated.sources[evaluated.main], key)
+            faults.append(fault(key, reason, f"{evaluated.main}:{line}" if line else evaluated.main))
+        return Refused(faults)
+
+    file, found = form(evaluated.value)
+    if file is None:
+        raise tell(found)
+    compiler = Compiler(file, platform)
+    if compiler.faults:
+        raise tell(compiler.faults)
+    compiled, networks = compiler.compiled(evaluated.digest)
+    return Loaded(compiled, compiler, networks)
+
+
+def child() -> int:
+    """Be the child: a question on standard input, the answer on standard output."""
+    from cometseam.operator import compiled as form
+    from cometseam.operator import evaluate as bounded
+
+    question = json.loads(sys.stdin.buffer.read())
+    import cometseam.operator.compile  # before the bounds: what the libraries take is not the file's doing
+
+    assert cometseam.operator.compile is not None
+    whole = bounded.evaluate
+
+    def within(path: Path) -> bounded.Evaluated:
+        bounded.bound()
+        try:
+            return whole(path)
+        finally:
+            bounded.release()
+
+    bounded.evaluate = within
+    try:
+        loaded = load(Path(question["path"]), question["settings"])
+        text = b"+" + form.write(loaded.compiled, loaded.networks)
+    except Refused as refused:
+        told = [[fault.path, fault.reason, fault.place] for fault in refused.faults]
+        text = b"-" + json.dumps(told).encode()
+    sys.stdout.buffer.write(text)
+    return 0
+
+
+COMMAND = [sys.executable, "-m", "cometseam.operator"]
+
+
+def _question(path: Path, settings: dict[str, Any]) -> bytes:
+    return json.dumps({"path": str(path), "settings": settings}).encode()
+
+
+def _answer(path: Path, status: int, text: bytes, said: bytes) -> Compiled:
+    if status == 0 and text[:1] == b"+":
+        return read(text[1:])
+    if status == 0 and text[:1] == b"-":
+        raise Refused([Fault(*fault) for fault in json.loads(text[1:])])
+    if status == -signal.SIGALRM:
+        why = "its evaluation takes too long"
+    elif status in (-signal.SIGABRT, -signal.SIGSEGV, -signal.SIGKILL) or b"MemoryError" in said:
+        why = "its evaluation takes too much memory, or is nested too deeply"
+    else:
+        why = f"it could not be checked: {said.decode(errors='replace').strip().splitlines()[-1:]}"
+    raise Refused([Fault("", f"{path.name}: {why}")])
+
+
+def load_apart(path: Path, settings: dict[str, Any]) -> Compiled:
+    """Load a file in a child, and wait for it: at the start, when nothing is served yet."""
+    try:
+        done = subprocess.run(
+            COMMAND, input=_question(path, settings), capture_output=True, timeout=CHECKS, check=False
+        )
+    except subprocess.TimeoutExpired as error:
+        raise Refused([Fault("", f"{path.name}: its checks take too long")]) from error
+    return _answer(path, done.returncode, done.stdout, done.stderr)
+
+
+async def load_apart_async(path: Path, settings: dict[str, Any]) -> Compiled:
+    """Load a file in a child beside what is served; cancelled, or past its time, the child is ended."""
+    with anyio.move_on_after(CHECKS):
+        done = await anyio.run_process(COMMAND, input=_question(path, settings), check=False)
+        return _answer(path, done.returncode, done.stdout, done.stderr)
+    raise Refused([Fault("", f"{path.name}: its checks take too long")])
--- /dev/null
+++ b/cometseam/operator/schema.py
@@ -0,0 +1,370 @@
+"""The form of the operator's file: every key with its type, unit, range and default.
+
+Each value is checked here by itself; what only holds together is checked in `compile`. All faults are told
+at once.
+"""
+
+import difflib
+import math
+import re
+from typing import Annotated, Any, Literal, Self
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError, model_validator
+
+from cometseam.operator.compiled import Fault
+from cometseam.timing.prove import WORDS
+
+UNITS = {"us": 0.001, "ms": 1.0, "s": 1000.0, "m": 60_000.0}
+SIZES = {"B": 1.0, "KB": 1024.0, "MB": 1024.0**2, "GB": 1024.0**3}
+LONGEST = 600_000.0  # ms: no pull waits for longer
+QUANTITY = re.compile(r"(-?[0-9]+(?:\.[0-9]+)?) *([A-Za-z]+)")
+HEX = re.compile(r"[0-9a-f]{1,16}")
+
+
+def _quantity(value: Any, units: dict[str, float], what: str, example: str) -> float:
+    if not isinstance(value, str):
+        raise ValueError(f"{what} with its unit was expected, as {example}, not {_told(value)}")
+    match = QUANTITY.fullmatch(value.strip())
+    if match is None:
+        raise ValueError(f"{what} was expected, as {example}, not {_told(value)}")
+    number, unit = match.groups()
+    if unit not in units:
+        raise ValueError(f"{unit!r} is no unit of {what}; known are {', '.join(units)}")
+    return float(number) * units[unit]
+
+
+def duration(value: Any) -> float:
+    """Return a duration in ms; it carries its unit."""
+    time = _quantity(value, UNITS, "a duration", '"250ms"')
+    if time < 0.0:
+        raise ValueError(f"a duration can't be negative: {_told(value)}")
+    if time > LONGEST:
+        raise ValueError(f"{_told(value)} is longer than any pull waits ({LONGEST / 1000.0:g}s at most)")
+    return time
+
+
+def size(value: Any) -> float:
+    """Return a size in bytes; it carries its unit."""
+    count = _quantity(value, SIZES, "a size", '"300KB"')
+    if count < 0.0:
+        raise ValueError(f"a size can't be negative: {_told(value)}")
+    return count
+
+
+def number(value: Any) -> float:
+    """Return a finite number."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"a number was expected, not {_told(value)}")
+    if not math.isfinite(value):
+        raise ValueError("a finite number was expected")
+    return float(value)
+
+
+def whole(value: Any) -> int:
+    """Return a whole number."""
+    if number(value) != int(value):
+        raise ValueError(f"a whole number was expected, not {_told(value)}")
+    return int(value)
+
+
+def span(value: Any) -> Any:
+    """Let a duration stand for a span without a part."""
+    return {"base": value} if isinstance(value, str) else value
+
+
+def time_out(value: Any) -> Any:
+    """Let a span stand for the time-out of first and further relays alike."""
+    if isinstance(value, str) or (isinstance(value, dict) and value.keys() & {"base", "part"}):
+        return {"first": value}
+    return value
+
+
+def pair(value: Any) -> Any:
+    """Let a whole number stand for the range that holds it alone."""
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return {"from": value, "to": value}
+    return value
+
+
+def many(value: Any) -> Any:
+    """Let one value stand for a list of it."""
+    return value if isinstance(value, list) else [value]
+
+
+def _told(value: Any) -> str:
+    return repr(value)[:40]
+
+
+Duration = Annotated[float, BeforeValidator(duration)]
+Number = Annotated[float, BeforeValidator(number)]
+Whole = Annotated[int, BeforeValidator(whole)]
+
+
+class Strict(BaseModel):
+    """Nothing is passed over, nothing is turned into another type."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True, populate_by_name=False)
+
+
+class SpanForm(Strict):
+    """`base`, and `part` times the pull's own sending time."""
+
+    base: Duration = 0.0
+    part: Annotated[Number, Field(ge=0.0, le=100.0)] = 0.0
+
+
+SpanField = Annotated[SpanForm, BeforeValidator(span)]
+
+
+class TimeOutForm(Strict):
+    """For the first relay of a pull, and for further ones after a failure."""
+
+    first: SpanField | None = None
+    further: SpanField | None = None
+
+
+TimeOutField = Annotated[TimeOutForm, BeforeValidator(time_out)]
+
+
+class TimeOutsForm(Strict):
+    """By what a relay is for."""
+
+    look: TimeOutField | None = None
+    fill: TimeOutField | None = None
+    direct: TimeOutField | None = None
+
+
+class WaitForm(Strict):
+    """Between a failure and the further relay."""
+
+    base: Duration
+    growth: Annotated[Number, Field(ge=1.0, le=10.0)] = 2.0
+    most: Duration | None = None
+    jitter: Annotated[Number, Field(ge=0.0, le=1.0)] = 0.0
+
+    @model_validator(mode="after")
+    def _ordered(self) -> Self:
+        if self.most is not None and self.most < self.base:
+            raise ValueError(f"most, {self.most:g} ms, lies below base, {self.base:g} ms")
+        return self
+
+
+class SecondForm(Strict):
+    """When a relay that is out is given up for another elsewhere."""
+
+    after: SpanField
+    keep_first: bool = False
+    where: Literal["group", "any"] = "group"
+
+    @model_validator(mode="after")
+    def _alone(self) -> Self:
+        if self.keep_first:
+            raise ValueError(
+                "keep_first: the second would be sent while the first is still out; a pull's relays are "
+                "never out together"
+            )
+        return self
+
+
+class BudgetForm(Strict):
+    """Further relays as a share of first ones."""
+
+    share: Annotated[Number, Field(ge=0.0, le=1.0)]
+    window: Annotated[Duration, Field(ge=1000.0)] = 10_000.0
+    floor: Annotated[Number, Field(ge=0.0, le=10_000.0)] = 5.0
+
+
+class PlanForm(Strict):
+    """What may be set for a default, a workload or a route; null takes an inherited value back."""
+
+    time_outs: TimeOutsForm | None = None
+    relays: Annotated[Whole, Field(ge=1, le=64)] | None = None
+    wait: WaitForm | None = None
+    second: SecondForm | None = None
+    retry_on: list[Literal[tuple(WORDS)]] | None = None  # type: ignore[valid-type]
+    budget: BudgetForm | None = None
+    later: Annotated[Duration, Field(ge=1.0)] | None = None
+    until: Literal["quoted", "cut-off"] | None = None
+
+
+class RangeForm(Strict):
+    """Whole numbers from one to another, both in it."""
+
+    from_: Annotated[Whole, Field(ge=0)] = Field(default=0, alias="from")
+    to: Annotated[Whole, Field(ge=0)] | None = None
+
+    @model_validator(mode="after")
+    def _ordered(self) -> Self:
+        if self.to is not None and self.to < self.from_:
+            raise ValueError(f"to, {self.to}, lies below from, {self.from_}: it can't match")
+        return self
+
+
+def _hex(value: Any) -> str:
+    if not isinstance(value, str) or HEX.fullmatch(value) is None:
+        raise ValueError(f"1 to 16 hex digits in lower case were expected, not {_told(value)}")
+    return value
+
+
+Hex = Annotated[str, BeforeValidator(_hex)]
+
+
+class ObjectsForm(Strict):
+    """Objects by the first hex digits of their names, or from one to another, both in it."""
+
+    prefix: Hex | None = None
+    from_: Hex | None = Field(default=None, alias="from")
+    to: Hex | None = None
+
+    @model_validator(mode="after")
+    def _one_way(self) -> Self:
+        if (self.prefix is None) == (self.from_ is None and self.to is None):
+            raise ValueError("either prefix, or from and to, were expected")
+        if self.from_ and self.to and int(self.to.ljust(16, "f"), 16) < int(self.from_.ljust(16, "0"), 16):
+            raise ValueError(f"to, {self.to}, lies below from, {self.from_}: it can't match")
+        return self
+
+
+class SizeForm(Strict):
+    """Sizes of a part from one, in it, to another, not in it."""
+
+    from_: Annotated[float, BeforeValidator(size)] = Field(default=0.0, alias="from")
+    to: Annotated[float, BeforeValidator(size)] | None = None
+
+    @model_validator(mode="after")
+    def _ordered(self) -> Self:
+        if self.to is not None and self.to <= self.from_:
+            raise ValueError("to does not lie above from: it can't match")
+        return self
+
+
+Texts = Annotated[list[str], BeforeValidator(many), Field(min_length=1)]
+Ranges = Annotated[
+    list[Annotated[RangeForm, BeforeValidator(pair)]], BeforeValidator(many), Field(min_length=1)
+]
+
+
+class MatchForm(Strict):
+    """What a route matches: all that is named must hold, one of each list."""
+
+    workload: Texts | None = None
+    objects: Annotated[list[ObjectsForm], BeforeValidator(many), Field(min_length=1)] | None = None
+    groups: Ranges | None = None
+    parts: Ranges | None = None
+    size: SizeForm | None = None
+    networks: Texts | None = None
+
+
+class RouteForm(Strict):
+    """One route; the first in the file that matches a pull is taken."""
+
+    name: Annotated[str, Field(min_length=1, max_length=64)]
+    match: MatchForm = MatchForm()
+    plan: PlanForm = PlanForm()
+
+
+class NetworkForm(Strict):
+    """A set of addresses: networks, addresses, ranges `a-b`, names of other sets, less what is excluded."""
+
+    include: Texts
+    exclude: Annotated[list[str], BeforeValidator(many)] = []
+    budget: BudgetForm | None = None
+
+
+class FrontForm(Strict):
+    """What holds for the front as a whole."""
+
+    budget: BudgetForm | None = None
+
+
+class FileForm(Strict):
+    """The whole file."""
+
+    version: Literal[1]
+    networks: dict[Annotated[str, Field(min_length=1, max_length=64)], NetworkForm] = {}
+    front: FrontForm = FrontForm()
+    default: PlanForm = PlanForm()
+    workloads: dict[str, PlanForm] = {}
+    largest: dict[str, Annotated[float, BeforeValidator(size)]] = {}
+    routes: Annotated[list[RouteForm], Field(max_length=20_000)] = []
+
+
+def form(value: Any) -> tuple[FileForm | None, list[tuple[tuple[str | int, ...], str]]]:
+    """Check the form of a value; return it with no faults, or nothing with each fault's path and reason."""
+    try:
+        return FileForm.model_validate(value), []
+    except ValidationError as error:
+        out = []
+        for told in error.errors(include_url=False):
+            path = tuple(told["loc"])
+            out.append((path, _reason(told, path)))
+        return None, out
+
+
+def _reason(told: Any, path: tuple[str | int, ...]) -> str:
+    kind, given, context = told["type"], told.get("input"), told.get("ctx", {})
+    match kind:
+        case "extra_forbidden":
+            known = _keys(path[:-1])
+            near = difflib.get_close_matches(str(path[-1]), known, 1, 0.6)
+            if near:
+                return f"unknown key; did you mean {near[0]}?"
+            return f"unknown key; known are {', '.join(known)}"
+        case "missing":
+            return "missing"
+        case "value_error":
+            return str(context["error"])
+        case "literal_error":
+            words = context["expected"].replace("'", "").replace(" or ", ", ")
+            near = difflib.get_close_matches(str(given), words.split(", "), 1, 0.6)
+            return f"{_told(given)} is none of {words}" + (f"; did you mean {near[0]}?" if near else "")
+        case "greater_than_equal":
+            return f"{given!r} is too small: {context['ge']:g} at least"
+        case "less_than_equal":
+            return f"{given!r} is too large: {context['le']:g} at most"
+        case "model_type" | "model_attributes_type" | "dict_type":
+            return f"an object was expected, not {_told(given)}"
+        case "list_type":
+            return f"a list was expected, not {_told(given)}"
+        case "too_short" | "string_too_short":
+            return "it is empty"
+        case "string_type":
+            return f"a text was expected, not {_told(given)}"
+        case "bool_type":
+            return f"true or false was expected, not {_told(given)}"
+    return str(told["msg"])
+
+
+def _keys(path: tuple[str | int, ...]) -> list[str]:
+    """Return the keys that the object at a path may have."""
+    at: Any = FileForm
+    for step in path:
+        field = at.model_fields.get(str(step)) if isinstance(at, type) and issubclass(at, Strict) else None
+        at = _inner(field.annotation if field is not None else at)
+    if isinstance(at, type) and issubclass(at, Strict):
+        return [field.alias or name for name, field in at.model_fields.items()]
+    return []
+
+
+def _inner(annotation: Any) -> Any:
+    """Return the form that an annotation holds at last."""
+    seen = [annotation]
+    while seen:
+        one = seen.pop()
+        if isinstance(one, type) and issubclass(one, Strict):
+            return one
+        seen += [part for part in getattr(one, "__args__", ()) if part is not type(None)]
+    return annotation
+
+
+def shown(path: tuple[str | int, ...]) -> str:
+    """Return a path as it is told: `routes[3].plan.relays`."""
+    text = ""
+    for step in path:
+        text += f"[{step}]" if isinstance(step, int) else f".{step}" if text else str(step)
+    return text
+
+
+def fault(path: tuple[str | int, ...], reason: str, place: str) -> Fault:
+    """Return a fault with its path shown."""
+    return Fault(shown(path), reason, place)
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -2,13 +2,16 @@
 
 import gc
 import signal
+from pathlib import Path
+from typing import Any
 
 import anyio
-from loguru import logger
 
 from cometseam.config import Config, read_config
 from cometseam.counters import COUNTERS, memory_taken
+from cometseam.events import say
 from cometseam.logic import Front
+from cometseam.operator import Compiled, Refused
 from cometseam.reading import Faulty
 from cometseam.routing.actor import Router
 from cometseam.transport.buffers import Pool
@@ -23,11 +26,12 @@
 POOL_PART = 2  # of the memory that the interpreter leaves, what goes to buffers
 UNSEEN = 20000  # objects made and not freed between two looks for cycles
 TURN = 10.0  # ms between two looks at what is still owed
+MOST_FAULTS = 50  # of a file that are logged
 SAMPLE = 50.0  # ms between two looks at the loop's lag
 
 
-async def run(config: Config) -> None:
-    """Serve until SIGTERM, then answer what is owed and end."""
+async def run(config: Config, compiled: Compiled | None = None) -> None:
+    """Serve until SIGTERM, then answer what is owed and end; `compiled` is the operator's file."""
     clock = Clock()
     timers = Timers(clock)
     taken = memory_taken()
@@ -45,28 +49,79 @@
     gc.set_threshold(UNSEEN)
     async with anyio.create_task_group() as tasks:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
+            if compiled is not None:
+                router.replan(compiled)
             router.change(list(config.known))
             for actor in (router.run, timers.run, log.run):
                 tasks.start_soon(actor)
             tasks.start_soon(listener.run, tasks)
             tasks.start_soon(listener.end_overdue, config.links.longest_cut_off)
             tasks.start_soon(_sample, clock, router)
-            logger.info("{} listens at {}:{}", config.name, *config.listen)
+            say("front.listens", name=config.name, host=config.listen[0], port=config.listen[1])
+            reader = OperatorsFile(router)
             async for number in signals:
                 if number == signal.SIGTERM:
                     break
                 if number == signal.SIGUSR1:
-                    COUNTERS.print("asked", router.peers())
-                elif (new := _reread(config)) is not None:
+                    _print("asked", router)
+                    continue
+                if (new := _reread(config)) is not None:
                     pool.resize((new.memory - taken) // POOL_PART)
                     listener.most, around.connections = new.clients, new.peers
                     log.move(new.changelog)
-            logger.info("{} drains", config.name)
+                # Its evaluation takes a while: what was asked for before is no longer wanted.
+                reader.cancel()
+                if config.operator is not None:
+                    tasks.start_soon(reader.reread, config.operator, (new or config).told)
+            say("front.drains", name=config.name)
             router.draining = True
             listener.drain()
             await _drain(config, clock, router, listener)
             tasks.cancel_scope.cancel()
-    COUNTERS.print("at exit", router.peers())
+    _print("at exit", router)
+
+
+def _print(why: str, router: Router) -> None:
+    for peer, ends in router.peers():
+        say("peer.counters", why=why, peer=peer, ends=ends)
+    say("front.counters", why=why, counts=COUNTERS.all())
+
+
+class OperatorsFile:
+    """Reads the operator's file anew beside what is served, one reading at a time."""
+
+    def __init__(self, router: Router) -> None:
+        self._router = router
+        self._scope = anyio.CancelScope()
+
+    def cancel(self) -> None:
+        """Give up the reading that is under way: a newer one is wanted."""
+        self._scope.cancel()
+
+    async def reread(self, path: Path, told: dict[str, Any]) -> None:
+        """Read and check the file, and hand it over; a faulty one is logged, and the one that runs stays.
+
+        Cancelled, its child is ended and nothing is changed.
+        """
+        from cometseam.operator.load import load_apart_async
+
+        with anyio.CancelScope() as self._scope:
+            try:
+                compiled = await load_apart_async(path, told)
+            except Refused as refused:
+                COUNTERS.add("operator.refused")
+                for fault in refused.faults[:MOST_FAULTS]:
+                    place, key = (f"{part}: " if part else "" for part in (fault.place, fault.path))
+                    say("operator.refused", place=place, path=key, reason=fault.reason)
+            except Exception as error:  # whatever it is, the plans that run stay
+                COUNTERS.add("operator.refused")
+                why = f"{type(error).__name__}: {error}"
+                say("operator.refused", place="", path=f"{path}: ", reason=why)
+            else:
+                COUNTERS.add("operator.taken")
+                self._router.replan(compiled)
+                routes, plans = len(compiled.names), len(compiled.plans.plans)
+                say("operator.taken", routes=routes, plans=plans, digest=compiled.digest)
 
 
 def _reread(config: Config) -> Config | None:
@@ -75,12 +130,12 @@
         new = read_config()
     except Faulty as error:
         COUNTERS.add("reload.faulty")
-        logger.error("configuration: {}; the one that runs stays", error)
+        say("config.faulty", why=str(error))
         return None
     COUNTERS.add("reload.taken")
     for key in config.needs_restart(new):
-        logger.warning("configuration: {}: has changed, which needs a restart", key)
-    logger.info("configuration: read anew")
+        say("config.needs_restart", key=key)
+    say("config.read")
     return new
 
 
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -10,16 +10,18 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from loguru import logger
 
 from cometseam import interface as i
 from cometseam.counters import COUNTERS, invariant
+from cometseam.events import say
 from cometseam.logic import Front
 from cometseam.mailbox import Mailbox
+from cometseam.operator import Compiled
 from cometseam.protocol.changelog import Change, Listing, Purge
 from cometseam.protocol.frames import Order
 from cometseam.routing import translate
 from cometseam.settings import Names
+from cometseam.timing import Table
 from cometseam.transport.client import Client
 from cometseam.transport.clock import Timer
 from cometseam.transport.peer import Ask, End, GiveUp, How, Peer, Surroundings
@@ -68,7 +70,14 @@
     stream: int
 
 
-Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged
+@dataclass(slots=True)
+class Replan:
+    """The operator's file has changed."""
+
+    compiled: Compiled
+
+
+Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan
 
 
 class Router:
@@ -87,6 +96,7 @@
         self._last = 0
         self._events: deque[i.Event] = deque()  # what is still to be handed to the module
         self._tasks: TaskGroup | None = None
+        self._table: Table | None = None  # of the operator's routes; pulls that are open keep their plan
         self._listed = False
         self.draining = False
 
@@ -120,6 +130,10 @@
         """The front comes so much later to what is due."""
         self._mailbox.put_urgent(i.Lagged(by))  # told a few times a second
 
+    def replan(self, compiled: Compiled) -> None:
+        """Have pulls that are taken from now on go by other plans."""
+        self._mailbox.put_urgent(Replan(compiled))  # one a reload
+
     def _report(self, end: End) -> None:
         self._mailbox.put_urgent(end)  # as many as there are relays out, at most
 
@@ -135,7 +149,7 @@
                     self._handle(message)
                 except Exception as error:
                     COUNTERS.add("routing.exception")
-                    logger.opt(exception=error).error("a {} failed", type(message).__name__)
+                    say("actor.failed", error, kind=type(message).__name__)
 
     def _handle(self, message: Message) -> None:
         match message:
@@ -151,6 +165,9 @@
                     self._decide(i.HungUp(pull.number))
             case i.Rang() | i.Lagged():
                 self._decide(message)
+            case Replan():  # between two events: no pull sees half of the old routes and half of the new
+                self._table = message.compiled.table
+                self._decide(message.compiled.plans)
             case _:
                 for change in message:
                     self._change(change)
@@ -173,6 +190,8 @@
         self._last += 1
         cut_off = taken.at + order.left
         event = translate.pull(self._last, order, workload, cut_off - now)
+        if self._table is not None:
+            translate.plan(event, self._table, taken.client.address)
         pull = Open(self._last, taken.client, taken.stream, order, event, cut_off)
         self._open[pull.number] = pull
         self._ids.add(order.id)
@@ -242,7 +261,7 @@
                     self._act(action)
             except Exception as error:
                 COUNTERS.add("module.exception")
-                logger.opt(exception=error).error("the module failed on a {}", type(event).__name__)
+                say("module.failed", error, kind=type(event).__name__)
                 pull = self._open.get(getattr(event, "id", -1))
                 if pull is not None and pull.owed:
                     self._settle(pull)
@@ -275,7 +294,7 @@
             case i.Probe():
                 self._events.append(i.Probed(action.cache, i.Outcome.MOOT, ()))
             case i.Say():
-                logger.info("the module says: {}", action.text)
+                say("module.says", text=action.text)
 
     def _relay(self, relay: i.Relay) -> None:
         pull = self._open[relay.id]
@@ -337,10 +356,10 @@
             self._ids.discard(pull.order.id)
             pull.order.frame.free()
 
-    def peers(self) -> list[str]:
+    def peers(self) -> list[tuple[str, dict[str, int]]]:
         """Tell for each peer how relays to it ended."""
         peers = sorted(self._peers.values(), key=lambda peer: peer.name)
-        return [" ".join((peer.name, *(f"{k}={n}" for k, n in sorted(peer.ends.items())))) for peer in peers]
+        return [(peer.name, dict(sorted(peer.ends.items()))) for peer in peers]
 
     def give_up_all(self) -> None:
         """Answer all that is owed: the front ends."""
--- a/cometseam/routing/translate.py
+++ b/cometseam/routing/translate.py
@@ -6,6 +6,7 @@
 from cometseam.protocol.changelog import Line, Listing, Purge
 from cometseam.protocol.frames import Order
 from cometseam.protocol.resp import Command
+from cometseam.timing import Sight, Table, whole_size
 from cometseam.transport.peer import End, How
 
 HOWS = {
@@ -69,6 +70,15 @@
                   order.group)  # fmt: skip
 
 
+def plan(event: i.Pull, table: Table, address: int) -> None:
+    """Give a pull the plan of the first route that matches it, and the network of its client."""
+    route = table.find(
+        Sight(event.workload, event.object, event.group, event.part, whole_size(event.size_kb), address)
+    )
+    event.plan = table.routes[route][0] if route >= 0 else -1
+    event.network = table.network(address)
+
+
 def ended(end: End, cache: int, now: float, closed: bool, reports: tuple[str, ...]) -> i.Ended:
     """Return a relay's end as an event."""
     ask, answer = end.ask, end.answer
--- /dev/null
+++ b/cometseam/timing/table.py
@@ -0,0 +1,118 @@
+"""Finds the first route that matches a pull: a decision tree over the axes that a route may name.
+
+The tree is grown beside the front (`grow`), by the process that checks the file, and comes as flat lists. A
+look-up walks down one path and compares the few routes of one leaf in the order of the file: the first
+match wins.
+"""
+
+from bisect import bisect_right
+from typing import NamedTuple
+
+AXES = ("workload", "object", "group", "part", "size", "address")
+# Of each axis one past its largest value. Objects are 64-bit numbers, sizes bytes, addresses IPv6 with
+# IPv4 mapped.
+ENDS = (1 << 16, 1 << 64, 1 << 16, 1 << 32, 1 << 48, 1 << 128)
+IPV4 = 0xFFFF << 32  # where ::ffff:0:0/96 begins
+KB = 1024.0
+
+Interval = tuple[int, int]  # from, and one past the last
+Box = tuple[tuple[Interval, ...], ...]  # by axis, in order and apart; empty: it matches nothing
+
+
+class Sight(NamedTuple):
+    """What a pull shows to routes: a whole number on each axis."""
+
+    workload: int
+    object: int
+    group: int
+    part: int
+    size: int
+    address: int
+
+
+def whole_address(text: str) -> int:
+    """Return an address as a number on its axis; what is no address is 0, which no set should hold."""
+    if ":" not in text:
+        number = 0
+        parts = text.split(".")
+        if len(parts) != 4:
+            return 0
+        for part in parts:
+            if not (part.isascii() and part.isdigit() and int(part) < 256):
+                return 0
+            number = number << 8 | int(part)
+        return IPV4 | number
+    import ipaddress  # most installations speak IPv4 to their clients
+
+    try:
+        return int(ipaddress.IPv6Address(text.partition("%")[0]))
+    except ValueError:
+        return 0
+
+
+def whole_size(size_kb: float) -> int:
+    """Return a size in KB as a number on its axis, bytes."""
+    return min(max(int(size_kb * KB), 0), ENDS[4] - 1)
+
+
+def holds(intervals: tuple[Interval, ...], value: int) -> bool:
+    """Tell whether one of the intervals holds the value."""
+    return any(low <= value < high for low, high in intervals)
+
+
+class Table:
+    """Routes by their place in the file, and the tree over them.
+
+    `routes` hold (plan, box); `nodes` hold (axis, cut, place below the cut, place from it on), a place
+    under 0 being the leaf -place - 1; `leaves` hold routes by place, in order.
+    """
+
+    def __init__(
+        self, routes: tuple[tuple[int, Box], ...], nodes: tuple[tuple[int, int, int, int], ...],
+        leaves: tuple[tuple[int, ...], ...], networks: tuple[tuple[Interval, ...], ...] = (),
+    ) -> None:  # fmt: skip
+        self.routes, self.nodes, self.leaves = routes, nodes, leaves
+        # Of each route only the axes on which it says something: most say one or two.
+        self._terms = [
+            tuple((axis, box[axis]) for axis in range(len(AXES)) if box[axis] != ((0, ENDS[axis]),))
+            for _, box in routes
+        ]
+        self._bounds: list[int] = []  # of the networks that have a budget: they lie apart
+        self._owners: list[int] = []
+        for low, high, owner in sorted(
+            (low, high, owner) for owner, intervals in enumerate(networks) for low, high in intervals
+        ):
+            self._bounds += (low, high)
+            self._owners += (owner, -1)
+
+    def find(self, sight: Sight) -> int:
+        """Return the place of the first route that matches, or -1."""
+        if not self.leaves:
+            return -1
+        place = 0 if self.nodes else -1
+        while place >= 0:
+            axis, cut, below, above = self.nodes[place]
+            place = below if sight[axis] < cut else above
+        for route in self.leaves[-place - 1]:
+            for axis, intervals in self._terms[route]:
+                value = sight[axis]
+                for low, high in intervals:
+                    if low <= value < high:
+                        break
+                else:
+                    break
+            else:
+                return route
+        return -1
+
+    def scan(self, sight: Sight) -> int:
+        """Return the same by comparing all routes in order: what the tree is measured and tested against."""
+        for route, terms in enumerate(self._terms):
+            if all(holds(intervals, sight[axis]) for axis, intervals in terms):
+                return route
+        return -1
+
+    def network(self, address: int) -> int:
+        """Return the place of the network with a budget that holds the address, or -1."""
+        place = bisect_right(self._bounds, address) - 1
+        return self._owners[place] if place >= 0 else -1
--- a/cometseam/transport/changelog.py
+++ b/cometseam/transport/changelog.py
@@ -5,9 +5,9 @@
 import anyio
 import h11
 from anyio.abc import ByteStream
-from loguru import logger
 
-from cometseam.counters import COUNTERS, warn
+from cometseam.counters import COUNTERS
+from cometseam.events import say
 from cometseam.protocol import Malformed
 from cometseam.protocol.changelog import MOST, Change, Unusable, path, read_text
 from cometseam.settings import Names
@@ -42,7 +42,7 @@
                     await self._poll()
                 except Exception as error:  # whatever it is, the list held stays and the poll starts again
                     COUNTERS.add("changelog.failed")
-                    warn("the change log: {}: {}", type(error).__name__, error)
+                    say("changelog.failed", kind=type(error).__name__, why=str(error))
                 await anyio.sleep(self._wait / 1000.0)
                 self._wait = min(2.0 * self._wait, LONGEST_WAIT)
 
@@ -104,7 +104,7 @@
                 self._last = change.seq
                 if isinstance(change, Unusable):
                     COUNTERS.add("changelog.passed_over")
-                    logger.error("the change log: event {} is passed over: {}", change.seq, why)
+                    say("changelog.passed_over", seq=change.seq, why=why)
                 else:
                     new.append(change)
         finally:
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -5,9 +5,9 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from loguru import logger
 
-from cometseam.counters import COUNTERS, warn
+from cometseam.counters import COUNTERS
+from cometseam.events import say
 from cometseam.protocol import Body, Malformed
 from cometseam.protocol.frames import (
     MOST,
@@ -22,6 +22,7 @@
     write_served,
     write_shed,
 )  # fmt: skip
+from cometseam.timing import whole_address
 from cometseam.transport.buffers import Pool
 from cometseam.transport.clock import Clock
 from cometseam.transport.connection import Connection, Part
@@ -51,7 +52,10 @@
 class Client:
     """One connection of a client."""
 
-    def __init__(self, sock: socket.socket, pool: Pool, clock: Clock, pulls: Pulls) -> None:
+    def __init__(
+        self, sock: socket.socket, pool: Pool, clock: Clock, pulls: Pulls, address: str = ""
+    ) -> None:
+        self.address = whole_address(address)  # as a number: routes and budgets may go by it
         self._connection = Connection(sock, pool, clock)
         self._decoder = Decoder(pool.room)
         self._clock, self._pulls = clock, pulls
@@ -179,7 +183,7 @@
         Guards the others against a client that floods, or sends the same again as soon as it is told.
         """
         COUNTERS.add("client.bad_input")
-        warn("a client sent what can't be used: {}", why)
+        say("client.unusable", why=why)
         self._ending = True
         self._open.discard(stream)
         self._connection.send([write_errored(stream, why)], lambda _: self._end_if_done())
@@ -239,13 +243,13 @@
                     await anyio.sleep(0.01)  # a pull is open on each: those that end make room
                     break
                 try:
-                    sock, _ = self._sock.accept()
-                    client = Client(sock, self._pool, self._clock, self._pulls)
+                    sock, (address, *_) = self._sock.accept()
+                    client = Client(sock, self._pool, self._clock, self._pulls, address)
                 except (BlockingIOError, ConnectionAbortedError):
                     break
                 except OSError as error:
                     COUNTERS.add("client.not_accepted")
-                    warn("a connection was not accepted: {}", error)
+                    say("client.not_accepted", why=str(error))
                     await anyio.sleep(0.01)  # out of descriptors: those that end make room
                     break
                 COUNTERS.add("client.accepted")
@@ -270,7 +274,7 @@
             await client.run(self._draining)
         except Exception as error:
             COUNTERS.add("client.exception")
-            logger.opt(exception=error).error("a client's connection failed")
+            say("client.failed", error)
         finally:
             self.clients.discard(client)
 
--- a/cometseam/transport/clock.py
+++ b/cometseam/transport/clock.py
@@ -6,9 +6,9 @@
 from itertools import count
 
 import anyio
-from loguru import logger
 
 from cometseam.counters import COUNTERS
+from cometseam.events import say
 
 GRID = 4.0  # ms within which what comes due is done in one turn of the loop; deadlines have 50
 
@@ -74,7 +74,7 @@
                     timer.run()
                 except Exception as error:
                     COUNTERS.add("timer.exception")
-                    logger.opt(exception=error).error("a timer failed")
+                    say("timer.failed", error)
             self._waits_for = max(self._heap[0][0], now + GRID) if self._heap else now + 60000.0
             self._sooner = anyio.Event()
             with anyio.move_on_after(max(self._waits_for - self._clock.now(), 0.0) / 1000.0):
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -8,9 +8,9 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from loguru import logger
 
-from cometseam.counters import COUNTERS, invariant, warn
+from cometseam.counters import COUNTERS, invariant
+from cometseam.events import say
 from cometseam.mailbox import Mailbox
 from cometseam.protocol import Malformed
 from cometseam.protocol.resp import (
@@ -128,7 +128,7 @@
             sock = await self._connect()
         except Exception as error:  # whatever it is, no connection came up
             COUNTERS.add("peer.not_connected")
-            logger.debug("{}: not connected: {}", self._peer.name, error)
+            say("peer.not_connected", peer=self._peer.name, why=str(error))
             self._peer.lost(self, came_up=False)
             return
         COUNTERS.add("peer.connected")
@@ -139,7 +139,7 @@
             await self.connection.run(self._feed)
         except Exception as error:
             COUNTERS.add("peer.exception")
-            logger.opt(exception=error).error("{}: a connection failed", self._peer.name)
+            say("peer.connection_failed", error, peer=self._peer.name)
         finally:
             self._decoder.close()
             if self._watch is not None:
@@ -194,7 +194,7 @@
                     unusable = "more answers than it was asked for"
         if unusable:
             COUNTERS.add("peer.bad_input")
-            warn("{} sent what can't be used: {}", self._peer.name, unusable)
+            say("peer.unusable", peer=self._peer.name, why=unusable)
             self.close()
         self._peer.place()
         return taken
@@ -317,7 +317,7 @@
                         self._give_up(message)
                 except Exception as error:
                     COUNTERS.add("peer.exception")
-                    logger.opt(exception=error).error("{}: a message failed", self.name)
+                    say("peer.message_failed", error, peer=self.name)
                     if isinstance(message, Ask):
                         self.end(message, How.UNCONNECTED)
 
