--- a/cometseam/cli/main.py
+++ b/cometseam/cli/main.py
@@ -14,6 +14,7 @@
 from cometseam.operator import Refused
 from cometseam.operator.load import Loaded, load, load_apart
 from cometseam.reading import Faulty, Section
+from cometseam.settings import read_links, read_names, read_settings
 from cometseam.timing.table import Sight, whole_address, whole_size
 
 app = typer.Typer(
@@ -45,16 +46,18 @@
     """Return the object of settings that a file is checked against."""
     path = against or Path(os.environ.get(VARIABLE, "") or "deploy/sample.json")
     try:
-        settings = Section(json.loads(path.read_bytes())).section("settings").values
+        section = Section(json.loads(path.read_bytes())).section("settings")
+        for read in (read_settings, read_names, read_links):
+            read(section)
     except OSError as error:
         _unusable(f"{path}: {error.strerror}")
     except (Faulty, ValueError, RecursionError) as error:
         _unusable(f"{path}: {error}")
-    return settings
+    return section.values
 
 
 def _load(file: Path, against: Path | None, as_json: bool, refused_is: int = 2) -> Loaded:
-    """Load a file, or end with its faults told; first apart, as a front does: it may loop or fill the memory."""
+    """Load a file, or end with its faults told; first apart, as a front does: it may loop."""
     settings = _settings(against)
     try:
         if not file.is_file():
--- a/cometseam/operator/compile.py
+++ b/cometseam/operator/compile.py
@@ -247,7 +247,8 @@
             tuple(_allowance(f"network {name}", form.budget) for name, form in with_budget),
             _allowance("front", self.file.front.budget),
         )
-        table = Table(routes, tuple(grower.nodes), tuple(grower.leaves), tuple(intervals))
+        trees = (tuple(grower.roots), tuple(grower.nodes), tuple(grower.leaves))
+        table = Table(routes, *trees, tuple(intervals))
         return Compiled(digest, told_plans, tuple(entry.name for entry in self.entries), table), intervals
 
 
--- a/cometseam/operator/compiled.py
+++ b/cometseam/operator/compiled.py
@@ -79,6 +79,7 @@
         "front": None if plans.front is None else asdict(plans.front),
         "names": compiled.names,
         "routes": table.routes,
+        "roots": table.roots,
         "nodes": table.nodes,
         "leaves": table.leaves,
         "networks": networks,
@@ -100,7 +101,8 @@
     )
     table = Table(
         tuple((plan, tuple(_intervals(axis) for axis in box)) for plan, box in values["routes"]),
-        tuple(tuple(node) for node in values["nodes"]),
+        tuple((first, place) for first, place in values["roots"]),
+        tuple((axis, tuple(cuts), tuple(below)) for axis, cuts, below in values["nodes"]),
         tuple(tuple(leaf) for leaf in values["leaves"]),
         tuple(_intervals(network) for network in values["networks"]),
     )
--- a/cometseam/operator/evaluate.py
+++ b/cometseam/operator/evaluate.py
@@ -53,10 +53,10 @@
             raise ValueError(f"import {path.name!r}: outside the folder of the file")
         if len(self.texts) >= MOST_FILES:
             raise ValueError(f"more than {MOST_FILES} files are imported")
+        if not os.path.isfile(real):
+            raise ValueError(f"{path.name}: no such file")
         with open(real, "rb") as file:
             before = os.fstat(file.fileno())
-            if not os.path.isfile(real):
-                raise ValueError(f"{path.name}: no file")
             text = file.read(MOST_BYTES + 1)
             after = os.fstat(file.fileno())
         if len(text) > MOST_BYTES:
@@ -112,7 +112,7 @@
     except ValueError as error:
         raise Refused([Fault("", str(error))]) from error
     except RuntimeError as error:
-        raise Refused([_fault(str(error), str(reader.folder))]) from error
+        raise Refused([_fault(str(error), reader)]) from error
     digest = hashlib.blake2b(digest_size=8)
     for name, content in sorted(reader.texts.items()):
         digest.update(str(name.relative_to(reader.folder)).encode() + b"\0" + content + b"\0")
@@ -127,8 +127,10 @@
     raise ValueError(f"{word}: a finite number was expected")
 
 
-def _fault(text: str, folder: str) -> Fault:
+def _fault(text: str, reader: Reader) -> Fault:
     """Return the one line that matters of what the evaluation says, with its place."""
+    folder = str(reader.folder)
+    names = {str(path.relative_to(folder)) for path in reader.texts}
     lines = [line.strip() for line in text.strip().splitlines()]
     why = lines[0]
     for word in ("STATIC ERROR: ", "RUNTIME ERROR: "):
@@ -136,14 +138,17 @@
     place = ""
     for line in [why, *lines[1:]]:
         at = line.find(folder + "/")
-        if at >= 0:
-            place = line[at + len(folder) + 1 :].split("\t")[0].split(" ")[0].rstrip(":")
+        told = line[at + len(folder) + 1 :].split("\t")[0].split(" ")[0].rstrip(":") if at >= 0 else ""
+        if told.partition(":")[0] in names:
+            place = told
             break
     name, _, rest = place.partition(":")
     line_number = rest.lstrip("(").split(":")[0].split("-")[0]
     if why.startswith(f"{folder}/{name}:"):
         why = why.split(": ", 1)[-1]
     why = why.replace(folder + "/", "")
+    if why.startswith("couldn't open import"):
+        why = why.partition(": ")[2].removeprefix("[Errno 2] ")
     return Fault("", why, f"{name}:{line_number}" if line_number.isdigit() else name)
 
 
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -69,10 +69,11 @@
                     pool.resize((new.memory - taken) // POOL_PART)
                     listener.most, around.connections = new.clients, new.peers
                     log.move(new.changelog)
-                # Its evaluation takes a while: what was asked for before is no longer wanted.
+                # Its evaluation takes a while: what was asked for before is no longer wanted. It is checked
+                # against the settings that run: others need a restart.
                 reader.cancel()
                 if config.operator is not None:
-                    tasks.start_soon(reader.reread, config.operator, (new or config).told)
+                    tasks.start_soon(reader.reread, config.operator, config.told)
             say("front.drains", name=config.name)
             router.draining = True
             listener.drain()
--- a/cometseam/timing/grow.py
+++ b/cometseam/timing/grow.py
@@ -1,76 +1,85 @@
-"""Grows the tree that finds a route, and tells which routes meet. No I/O; run beside the front, not in it.
+"""Grows the trees that find a route, and tells which routes meet. No I/O; run beside the front, not in it.
 
-A node cuts one axis in two. The cut is the one that leaves the larger side with the fewest routes; a route
-that reaches over a cut goes to both sides. A leaf is not cut further once its routes are few, no cut parts
-them, or the routes named by all leaves together come to `SPREAD` times the routes: overlapping routes cost
-a longer comparison, never more memory.
+Routes are parted by the axes on which they are narrow, and each part has a tree of its own: a route that
+says nothing of an axis would reach over every cut of it. A node cuts one axis in up to `CUTS` pieces, on
+the axis that leaves the fewest routes in a piece; a route that reaches over a cut goes to both sides. A
+leaf is not cut further once its routes are few, no cut parts them, or the routes named by all leaves come
+to `SPREAD` times the routes: overlapping routes cost a longer comparison, never more memory.
 """
 
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from collections import defaultdict
+from itertools import pairwise
 
-from cometseam.timing.sets import Intervals, covered_by, meet
+from cometseam.timing.sets import covered_by, meet
 from cometseam.timing.table import ENDS, Box
 
-FEW = 4  # routes that a leaf compares: a further node costs as much
-SPREAD = 6  # times the routes that all leaves may name
-TRIED = 24  # cuts tried on each axis of a node
+FEW = 2  # routes that a leaf compares: a further node costs as much
+CUTS = 1024  # of a node: a look-up bisects them
+SPREAD = 6  # times the routes that all leaves of a tree may name
 PIECES = 400  # pieces of a route left over by earlier ones, past which it is not proven covered
-DEEP = 40
+WIDE = 2  # a route is narrow on an axis where it holds less than one part in so many of it
 
-Node = tuple[int, int, int, int]
+Node = tuple[int, tuple[int, ...], tuple[int, ...]]
 Range = tuple[int, int]
 
 
-def _touches(intervals: Intervals, low: int, high: int) -> bool:
-    return any(a < high and low < b for a, b in intervals)
+def _narrow(box: Box) -> tuple[bool, ...]:
+    return tuple(
+        WIDE * sum(b - a for a, b in box[axis]) < ENDS[axis] for axis in range(1, len(ENDS))
+    )
 
 
 class Grower:
-    """Grows one tree over boxes by place."""
+    """Grows the trees over boxes by place."""
 
     def __init__(self, boxes: list[Box]) -> None:
         self.boxes = boxes
         self.nodes: list[Node] = []
         self.leaves: list[tuple[int, ...]] = []
-        self.regions: list[tuple[Range, ...]] = []  # of each leaf
-        self._named = 0
-        self._most = SPREAD * max(len(boxes), 1) + 64
+        self.roots: list[tuple[int, int]] = []  # (first route, place of its root), by the first route
+        self._named = self._most = 0
 
     def grow(self) -> None:
-        """Fill `nodes` and `leaves`; the root is node 0, or the only leaf."""
+        """Fill `roots`, `nodes` and `leaves`."""
+        parts: dict[tuple[bool, ...], list[int]] = defaultdict(list)
+        for route, box in enumerate(self.boxes):
+            parts[_narrow(box)].append(route)
+        for routes in sorted(parts.values()):
+            self._named, self._most = len(routes), SPREAD * len(routes) + 64
+            self.roots.append((routes[0], self._tree(tuple(routes))))
+
+    def _tree(self, routes: tuple[int, ...]) -> int:
+        """Grow one tree and return the place of its root."""
         region = tuple((0, end) for end in ENDS)
-        routes = tuple(range(len(self.boxes)))
-        self._named = len(routes)
-        # Widest first, so that what memory is left is spread evenly: [routes, region, depth, node
-        # to hang it on].
-        turns: list[tuple[tuple[int, ...], tuple[Range, ...], int, tuple[int, int] | None]] = [
-            (routes, region, 0, None)
-        ]
-        at = 0
+        # Breadth first, so that what may be named is spent evenly: routes, region, node to hang it on.
+        turns: list[tuple[tuple[int, ...], tuple[Range, ...], int]] = [(routes, region, -1)]
+        children: dict[int, list[int]] = {}
+        root, at = 0, 0
         while at < len(turns):
-            mine, region, depth, hang = turns[at]
+            mine, region, node = turns[at]
             at += 1
             mine = self._needed(mine, region)
-            cut = self._cut(mine, region) if len(mine) > FEW and depth < DEEP else None
+            cut = self._cut(mine, region) if len(mine) > FEW else None
             if cut is None:
                 self.leaves.append(mine)
-                self.regions.append(region)
                 place = -len(self.leaves)
             else:
-                axis, value, below, above = cut
-                self._named += len(below) + len(above) - len(mine)
+                axis, cuts, pieces = cut
+                self._named += sum(map(len, pieces)) - len(mine)
                 place = len(self.nodes)
-                self.nodes.append((axis, value, 0, 0))
-                low, high = region[axis]
-                left = (*region[:axis], (low, value), *region[axis + 1 :])
-                right = (*region[:axis], (value, high), *region[axis + 1 :])
-                turns.append((below, left, depth + 1, (place, 2)))
-                turns.append((above, right, depth + 1, (place, 3)))
-            if hang is not None:
-                node, side = hang
-                old = self.nodes[node]
-                self.nodes[node] = (*old[:2], place, old[3]) if side == 2 else (*old[:3], place)
+                self.nodes.append((axis, cuts, ()))
+                children[place] = []
+                ends = (region[axis][0], *cuts, region[axis][1])
+                for piece, side in zip(pieces, pairwise(ends), strict=True):
+                    turns.append((piece, (*region[:axis], side, *region[axis + 1 :]), place))
+            if node < 0:
+                root = place
+            else:
+                children[node].append(place)
+        for place, below in children.items():
+            self.nodes[place] = (*self.nodes[place][:2], tuple(below))
+        return root
 
     def _needed(self, routes: tuple[int, ...], region: tuple[Range, ...]) -> tuple[int, ...]:
         """Drop what stands behind a route that matches all of the region."""
@@ -84,46 +93,49 @@
 
     def _cut(
         self, routes: tuple[int, ...], region: tuple[Range, ...]
-    ) -> tuple[int, int, tuple[int, ...], tuple[int, ...]] | None:
-        best: tuple[int, int, int, int] | None = None
+    ) -> tuple[int, tuple[int, ...], list[tuple[int, ...]]] | None:
+        """Return the axis, the cuts and the routes of each piece; None where no cut is worth it."""
+        best: tuple[float, int, list[int]] | None = None
         for axis, (low, high) in enumerate(region):
-            ends: set[int] = set()
-            for route in routes:
-                for a, b in self.boxes[route][axis]:
-                    if low < a < high:
-                        ends.add(a)
-                    if low < b < high:
-                        ends.add(b)
-            ordered = sorted(ends)
-            step = max(len(ordered) // TRIED, 1)
-            for value in ordered[step // 2 :: step]:
-                below = above = 0
-                for route in routes:
-                    intervals = self.boxes[route][axis]
-                    below += intervals[0][0] < value and _touches(intervals, low, value)
-                    above += intervals[-1][1] > value and _touches(intervals, value, high)
-                grade = (max(below, above), below + above, axis, value)
-                if best is None or grade < best:
-                    best = grade
+            marks = {
+                mark
+                for route in routes
+                for interval in self.boxes[route][axis]
+                for mark in interval
+                if low < mark < high
+            }
+            if not marks:
+                continue
+            ordered = sorted(marks)
+            cuts = ordered[:: -(-len(ordered) // CUTS)]
+            named = sum(len(self._pieces(route, axis, cuts, low, high)) for route in routes)
+            # Few routes in a piece, and no more named than the cuts are worth.
+            grade = named / (len(cuts) + 1) * max(named / len(routes), 1.0)
+            if self._named + named - len(routes) <= self._most and (best is None or grade < best[0]):
+                best = (grade, axis, cuts)
         if best is None or best[0] >= len(routes):
             return None
-        if self._named + best[1] - len(routes) > self._most:
-            return None
-        _, _, axis, value = best
+        _, axis, cuts = best
         low, high = region[axis]
-        sides = tuple(
-            tuple(route for route in routes if _touches(self.boxes[route][axis], *side))
-            for side in ((low, value), (value, high))
-        )
-        return axis, value, sides[0], sides[1]
+        pieces: list[list[int]] = [[] for _ in range(len(cuts) + 1)]
+        for route in routes:
+            for place in self._pieces(route, axis, cuts, low, high):
+                pieces[place].append(route)
+        if max(map(len, pieces)) == len(routes):
+            return None
+        return axis, tuple(cuts), [tuple(piece) for piece in pieces]
 
+    def _pieces(self, route: int, axis: int, cuts: list[int], low: int, high: int) -> set[int]:
+        """Return the pieces that a route reaches into."""
+        out: set[int] = set()
+        for a, b in self.boxes[route][axis]:
+            if a < high and low < b:
+                out.update(range(bisect_right(cuts, a), bisect_left(cuts, b) + 1))
+        return out
 
-def covered(boxes: list[Box], most: int = 64) -> dict[int, list[int]]:
-    """Tell which boxes earlier ones cover, and by which; past `most` of them no more are looked for.
 
-    Only boxes that share a cell of a coarse grid over one axis are compared: for routes that lie apart that
-    is few.
-    """
+def covered(boxes: list[Box], most: int = 64) -> dict[int, list[int]]:
+    """Tell which boxes earlier ones cover, and by which; past `most` of them no more are looked for."""
     found: dict[int, list[int]] = {}
     for route, earlier in enumerate(neighbours(boxes)):
         if earlier:
@@ -136,12 +148,14 @@
 
 
 def neighbours(boxes: list[Box]) -> list[list[int]]:
-    """Tell for each box the earlier ones that meet it, in order."""
-    # The axis on which most boxes differ orders them; a box meets only what its bins hold.
+    """Tell for each box the earlier ones that meet it, in order.
+
+    Only boxes that share a cell of a coarse grid over one axis are compared: for routes that lie apart that
+    is few.
+    """
     axis = max(range(len(ENDS)), key=lambda axis: len({box[axis] for box in boxes}), default=0)
     ends = sorted({end for box in boxes for interval in box[axis] for end in interval})
-    step = max(len(ends) // 512, 1)
-    edges = ends[::step]
+    edges = ends[:: max(len(ends) // 512, 1)]
     bins: dict[int, list[int]] = defaultdict(list)
     out: list[list[int]] = []
     for route, box in enumerate(boxes):
--- a/cometseam/timing/prove.py
+++ b/cometseam/timing/prove.py
@@ -111,7 +111,7 @@
         if plan.second is not None:
             yield "second", f"{name} is once-only: a relay that is given up may have run"
         if (plan.relays or 1) > 1 and risky:
-            yield "retry_on", (
+            yield "relays" if plan.worth is None else "retry_on", (
                 f"{name} is once-only, but a further relay would go after {', '.join(risky)}: "
                 "after these the first may have run"
             )
--- a/cometseam/timing/sets.py
+++ b/cometseam/timing/sets.py
@@ -82,6 +82,17 @@
     return left
 
 
+def _needed(box: Box, cover: list[tuple[int, Box]]) -> list[int]:
+    """Return the numbers of those without which a cover is none; the last in order is dropped first."""
+    for place in range(len(cover) - 1, -1, -1):
+        rest, pieces = cover[:place] + cover[place + 1 :], [box]
+        for _, hole in rest:
+            pieces = [part for piece in pieces for part in cut_out(piece, hole)]
+        if not pieces:
+            cover = rest
+    return [number for number, _ in cover]
+
+
 def covered_by(box: Box, earlier: list[tuple[int, Box]], most: int) -> list[int] | None:
     """Tell which of the earlier boxes cover `box` together; None: something of it is left, or `most` pieces.
 
@@ -100,7 +111,7 @@
             used.append(number)
         pieces = left
         if not pieces:
-            return used
+            return _needed(box, [(number, hole) for number, hole in earlier if number in used])
         if len(pieces) > most:
             return None
     return None
--- a/cometseam/timing/table.py
+++ b/cometseam/timing/table.py
@@ -1,6 +1,6 @@
-"""Finds the first route that matches a pull: a decision tree over the axes that a route may name.
+"""Finds the first route that matches a pull: decision trees over the axes that a route may name.
 
-The tree is grown beside the front (`grow`), by the process that checks the file, and comes as flat lists. A
+The trees are grown beside the front (`grow`), by the process that checks the file, and comes as flat lists. A
 look-up walks down one path and compares the few routes of one leaf in the order of the file: the first
 match wins.
 """
@@ -16,6 +16,7 @@
 KB = 1024.0
 
 Interval = tuple[int, int]  # from, and one past the last
+Node = tuple[int, tuple[int, ...], tuple[int, ...]]
 Box = tuple[tuple[Interval, ...], ...]  # by axis, in order and apart; empty: it matches nothing
 
 
@@ -61,17 +62,19 @@
 
 
 class Table:
-    """Routes by their place in the file, and the tree over them.
+    """Routes by their place in the file, and the trees over them.
 
-    `routes` hold (plan, box); `nodes` hold (axis, cut, place below the cut, place from it on), a place
-    under 0 being the leaf -place - 1; `leaves` hold routes by place, in order.
+    `routes` hold (plan, box); `roots` (first route, place of the tree's root), by the first route; `nodes`
+    (axis, cuts, place of each piece between them), a place under 0 being the leaf -place - 1; `leaves` hold
+    routes by place, in order.
     """
 
     def __init__(
-        self, routes: tuple[tuple[int, Box], ...], nodes: tuple[tuple[int, int, int, int], ...],
-        leaves: tuple[tuple[int, ...], ...], networks: tuple[tuple[Interval, ...], ...] = (),
+        self, routes: tuple[tuple[int, Box], ...], roots: tuple[tuple[int, int], ...],
+        nodes: tuple[Node, ...], leaves: tuple[tuple[int, ...], ...],
+        networks: tuple[tuple[Interval, ...], ...] = (),
     ) -> None:  # fmt: skip
-        self.routes, self.nodes, self.leaves = routes, nodes, leaves
+        self.routes, self.roots, self.nodes, self.leaves = routes, roots, nodes, leaves
         # Of each route only the axes on which it says something: most say one or two.
         self._terms = [
             tuple((axis, box[axis]) for axis in range(len(AXES)) if box[axis] != ((0, ENDS[axis]),))
@@ -87,23 +90,27 @@
 
     def find(self, sight: Sight) -> int:
         """Return the place of the first route that matches, or -1."""
-        if not self.leaves:
-            return -1
-        place = 0 if self.nodes else -1
-        while place >= 0:
-            axis, cut, below, above = self.nodes[place]
-            place = below if sight[axis] < cut else above
-        for route in self.leaves[-place - 1]:
-            for axis, intervals in self._terms[route]:
-                value = sight[axis]
-                for low, high in intervals:
-                    if low <= value < high:
+        best = len(self.routes)
+        for first, place in self.roots:
+            if first >= best:
+                break  # what is left begins behind what was found
+            while place >= 0:
+                axis, cuts, below = self.nodes[place]
+                place = below[bisect_right(cuts, sight[axis])]
+            for route in self.leaves[-place - 1]:
+                if route >= best:
+                    break
+                for axis, intervals in self._terms[route]:
+                    value = sight[axis]
+                    for low, high in intervals:
+                        if low <= value < high:
+                            break
+                    else:
                         break
                 else:
+                    best = route
                     break
-            else:
-                return route
-        return -1
+        return best if best < len(self.routes) else -1
 
     def scan(self, sight: Sight) -> int:
         """Return the same by comparing all routes in order: what the tree is measured and tested against."""
--- a/deploy/operator.jsonnet
+++ b/deploy/operator.jsonnet
@@ -25,7 +25,7 @@
   default: { retry_on: ['time-out', 'reset', 'connect-failed', 'full', 'given-up', 'miss'] },
 
   workloads: {
-    maps: plans.hasty() + plans.second('40ms', 0.9),
+    maps: plans.hasty() + plans.second('40ms', 1.05),
     grids: plans.patient(),
   },
 
--- /dev/null
+++ b/tests/bad/import-absolute.jsonnet
@@ -0,0 +1,1 @@
+local x = importstr '/etc/hostname'; { version: 1, x: x }
--- /dev/null
+++ b/tests/bad/import-missing.jsonnet
@@ -0,0 +1,1 @@
+local x = import 'nowhere.libsonnet'; { version: 1 } + x
--- /dev/null
+++ b/tests/bad/import-outside.jsonnet
@@ -0,0 +1,1 @@
+local x = import '../drive.py'; { version: 1 } + x
--- /dev/null
+++ b/tests/bad/key-unknown.jsonnet
@@ -0,0 +1,1 @@
+{ version: 1, colour: 'red' }
--- /dev/null
+++ b/tests/bad/largest-unknown.jsonnet
@@ -0,0 +1,1 @@
+{ version: 1, largest: { movies: '1MB' } }
--- /dev/null
+++ b/tests/bad/later-not-told.jsonnet
@@ -0,0 +1,6 @@
+// against: no-later
+{
+  version: 1,
+  largest: { maps: '300KB', grids: '2MB' },
+  workloads: { maps: { later: '500ms' } },
+}
--- /dev/null
+++ b/tests/bad/network-address.jsonnet
@@ -0,0 +1,1 @@
+{ version: 1, networks: { a: { include: '10.1.2.300' } } }
--- /dev/null
+++ b/tests/bad/once-only-again.jsonnet
@@ -0,0 +1,6 @@
+// against: once
+{
+  version: 1,
+  largest: { maps: '300KB', grids: '2MB' },
+  workloads: { maps: { relays: 2 } },
+}
--- /dev/null
+++ b/tests/bad/route-network-unknown.jsonnet
@@ -0,0 +1,7 @@
+{
+  version: 1,
+  largest: { maps: '300KB', grids: '2MB' },
+  routes: [
+    { name: 'a', match: { networks: 'farms' } },
+  ],
+}
--- /dev/null
+++ b/tests/bad/second-no-recalls.jsonnet
@@ -0,0 +1,6 @@
+// against: no-recalls
+{
+  version: 1,
+  largest: { maps: '300KB', grids: '2MB' },
+  workloads: { maps: { second: { after: { base: '40ms', part: 1.1 } } } },
+}
--- /dev/null
+++ b/tests/bad/text-division.jsonnet
@@ -0,0 +1,1 @@
+{ version: 1, front: { budget: { share: 0 / 0 } } }
--- /dev/null
+++ b/tests/bad/text-endless-object.jsonnet
@@ -0,0 +1,1 @@
+local o = { next: self.next }; { version: o.next }
--- /dev/null
+++ b/tests/bad/text-endless.jsonnet
@@ -0,0 +1,1 @@
+local f(n) = f(n + 1) tailstrict; { version: f(0) }
--- /dev/null
+++ b/tests/bad/text-error.jsonnet
@@ -0,0 +1,1 @@
+{ version: error 'not ready' }
--- /dev/null
+++ b/tests/bad/text-unknown-variable.jsonnet
@@ -0,0 +1,1 @@
+{ version: vresion }
--- /dev/null
+++ b/tests/bad/top-function.jsonnet
@@ -0,0 +1,1 @@
+function(x) { version: 1 }
--- /dev/null
+++ b/tests/bad/version-unknown.jsonnet
@@ -0,0 +1,1 @@
+{ version: 2 }
--- /dev/null
+++ b/tests/bad/workload-unknown.jsonnet
@@ -0,0 +1,1 @@
+{ version: 1, workloads: { movies: { relays: 2 } } }
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -261,6 +261,8 @@
         self.broken: list[bytes] = []  # what the change log answers instead, once each
         self.polled: list[int] = []  # the number that each poll asked from
         self.news = News()
+        self.environment: dict[str, str] = {}
+        self.listens = b"listens"  # what the log says once it does
         self.process: Process
         self.path: Path
         self._tasks: TaskGroup
@@ -272,14 +274,14 @@
         self._tasks.start_soon(listener.serve, serve)
         return f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
 
-    async def add(self, name: str, like: str | None = None) -> Cache:
-        """Stand in for a cache of the sample, or for one more like it."""
+    async def add(self, name: str, like: str | None = None, at: str | None = None) -> Cache:
+        """Stand in for a cache of the sample, or for one more like it; `at`: another one does, there."""
         lines = self.config["known"]["results"][0]["fleet"]["endpoints"]
         if like is not None:
             lines.append({**next(line for line in lines if line["name"] == like), "name": name})
         line = next(line for line in lines if line["name"] == name)
         cache = self.caches[name] = Cache(name, self.news)
-        line["address"] = await self.listen(cache.serve)
+        line["address"] = at or await self.listen(cache.serve)
         return cache
 
     def line(self, name: str, /, **changed: Any) -> dict[str, Any]:
@@ -332,10 +334,11 @@
         self.path = path = folder / "config.json"
         path.write_text(json.dumps(self.config))
         self.process = await anyio.open_process(
-            [sys.executable, "-m", "cometseam"], env={**environ, "ROUTER_CONFIG": str(path)}, stderr=PIPE
-        )
+            [sys.executable, "-m", "cometseam"], stderr=PIPE,
+            env={**environ, "ROUTER_CONFIG": str(path), **self.environment},
+        )  # fmt: skip
         self._tasks.start_soon(self._read_log)
-        await self.logged(b"listens")
+        await self.logged(self.listens)
 
     async def reload(self, text: str | None = None) -> None:
         """Replace the configuration by what it is now, or by a text, and have it read anew."""
@@ -374,17 +377,24 @@
 
 
 @asynccontextmanager
-async def world(folder: Path, *more: str, **limits: int) -> AsyncIterator[World]:
+async def world(
+    folder: Path, *more: str, operator: Path | None = None, log: str = "text", listens: bytes = b"listens",
+    patience: float = PATIENCE, at: dict[str, str] | None = None, **limits: int,
+) -> AsyncIterator[World]:  # fmt: skip
     """The program among stand-ins for the sample's caches, and for more like its first."""
     here = World()
     here.config["limits"].update(limits)
-    with anyio.fail_after(PATIENCE):
+    here.listens = listens
+    here.environment = {"COMETSEAM_LOG_FORMAT": log}
+    if operator is not None:
+        here.environment["COMETSEAM_OPERATOR"] = str(operator)
+    with anyio.fail_after(patience):
         async with anyio.create_task_group() as tasks:
             here._tasks = tasks
             for name in ("cache-1", "parent-1", "origin-1"):
-                await here.add(name)
+                await here.add(name, at=(at or {}).get(name))
             for name in more:
-                await here.add(name, like="cache-1")
+                await here.add(name, like="cache-1", at=(at or {}).get(name))
             await here.start(folder)
             try:
                 yield here
