--- a/cometseam/levels/easing.py
+++ b/cometseam/levels/easing.py
@@ -89,11 +89,10 @@
     def sheds(self, now: float, pull: Pull, sending: float) -> bool:
         """Tell whether a pull that has just come is shed, and remember what that takes."""
         told = self.now
-        share = told.shares[pull.workload] if pull.workload < len(told.shares) else 0.0
-        if told.routes:
-            share = max(share, told.routes.get(pull.plan, 0.0))
         if not told.shares and not told.routes:
             return False
+        share = told.shares[pull.workload] if pull.workload < len(told.shares) else 0.0
+        share = max(share, told.routes.get(pull.plan, 0.0))
         cut = self._cuts.setdefault(pull.workload, Cut())
         key = cut.key(pull.object, sending)
         shed = share > 0.0 and key < cut.at(share)
@@ -135,9 +134,8 @@
 
     def may_fill(self, gaps: tuple[float, ...] | None, out: int, limit: float) -> bool:
         """Tell whether a fill may be begun with so many out of so many; no gaps: the object is first seen."""
-        return (self.now.first_seen or gaps != ()) and (
-            self.now.fills >= 1.0 or out + 1 <= max(self.now.fills * limit, 1.0)
-        )
+        now = self.now
+        return (now.first_seen or gaps != ()) and (now.fills >= 1.0 or out < max(now.fills * limit, 1.0))
 
     def later(self, usual: float) -> float:
         """Return the time after which a shed pull is told to come back: under a level longer, and spread."""
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -13,11 +13,11 @@
 from typing import NamedTuple
 
 from cometseam.interface import (
-    Action, Eased, Effect, Ended, Error, Event, Group, HungUp, Kind, Lagged, Lifecycle, Listed, ListKind,
+    Action, Eased, Effect, Ended, Error, Event, Group, HungUp, Lagged, Lifecycle, Listed, ListKind,
     Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch, Workload,
 )  # fmt: skip
 from cometseam.levels import Easing
-from cometseam.timing import Ledger, goes_on, second_after, time_out, wait
+from cometseam.timing import Ledger, goes_on, times, wait
 
 TRACKED = 6000  # objects' parts whose requests are remembered
 GAPS = 6  # gaps remembered for each of them
@@ -112,6 +112,7 @@
         self.pull, self.workload = pull, workload
         self.plan, self.account = plans.of(pull.plan, pull.network)  # the operator's; kept when new ones come
         self.resting: Ended | None = None  # what it goes on with after a wait
+        self.is_write = workload.write or pull.write  # it can't be cached
         self.wanted, self.cut_off = pull.object << 16 | pull.part, now + pull.left  # a copy is one of a part
         self.sending = pull.size_kb / pace if pace else 0.0
         self.quoted_by = now + min(workload.quoted + workload.stretch * self.sending, pull.left)
@@ -253,7 +254,7 @@
     def _rank(self, held: Held) -> int:
         """Tell the rank at which the pull's copy is kept; 0 is not kept."""
         pull = held.pull
-        if not self._is_cacheable(held):
+        if held.is_write:
             return 0
         track = self.tracks.get(held.wanted)
         if track is None:
@@ -299,7 +300,7 @@
                 # First-seen fills pass unkept to spare the room. A cache that loses little of what it keeps
                 # has room to spare, so has one just started; a front just started knows of no loss: rank 1.
                 spare = way.source is not way.target and way.target.loss < SPARE
-                ended = yield way, rank or int(spare and self._is_cacheable(held))
+                ended = yield way, rank or int(spare and not held.is_write)
                 if ended is not None:
                     break
             if ended is None or not held.open or self.now + held.sending > held.cut_off:
@@ -343,7 +344,7 @@
 
     def _at(self, held: Held, edge: Server) -> Iterator[Way]:
         # A look tells what the cache holds, so which pulls are fills. A cold cache is not asked twice.
-        if self._is_cacheable(held) and not self._cold(edge):
+        if not held.is_write and not self._cold(edge):
             yield Way(edge, edge)
         yield from self._fills(held, edge)
 
@@ -367,7 +368,7 @@
             # limit of its own a parent gives only what it holds.
             taking = (self.usual_wait + held.sending) * self.fetches.crowded(self.now)
             soon = taking <= held.quoted_by - self.now and self.fetches.out + 1 <= self.fetches.size
-            soon = soon or not self._is_cacheable(held)
+            soon = soon or held.is_write
             for e in sources:
                 # With many fronts a source's link is full long before a front's own limit tells.
                 if soon and self._in_time(held, e.load):
@@ -376,9 +377,6 @@
                     yield Way(edge, e, only_held=True)
         yield from () if self.easing.now.ageing else ageing
 
-    def _is_cacheable(self, held: Held) -> bool:
-        return not (held.workload.write or held.pull.write)
-
     def _in_time(self, held: Held, limit: Limit) -> bool:
         """Tell whether it can be in the quoted time, or late at a place that is not busy."""
         # Gain goes by the pull and room by the byte: a pull larger than the mean bears less crowd. The more
@@ -392,7 +390,7 @@
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
         ordered: list[Server] = []
-        if self._is_cacheable(held):
+        if not held.is_write:
             for group in self.parents:
                 ordered += sorted(group, key=lambda parent: self._draw(held.wanted, parent), reverse=True)
         if self.origin:
@@ -452,11 +450,10 @@
         held.slowed = max(slowing.out / slowing.size, 1.0)
         lasts = PATIENCE * held.sending * held.slowed + (LOOKS if source is target else LATE)
         lasts = left if held.workload.effect is Effect.ONCE_ONLY else lasts
-        kind = Kind.LOOK if source is target else Kind.FILL if self._is_cacheable(held) else Kind.DIRECT
-        lasts = min(left, time_out(held.plan, kind, further, held.sending, lasts))
+        lasts, second = times(held.plan, source is target, held.is_write, further, held.sending, lasts, left)
         self.actions.append(Relay(pull.id, target.told.cache, source.told.cache, rank, s.joins, way.only_held,
                                   False, False, lasts, oldest))  # fmt: skip
-        if s.recalls and (second := second_after(held.plan, held.sending)) < lasts:
+        if s.recalls and second < lasts:
             self.actions.append(Wake(pull.id << MARK | held.relays, second))
         return True
 
@@ -482,8 +479,9 @@
     def _limits(self, held: Held) -> list[Limit]:
         """Tell which limits the relay that is out counts against."""
         limits = [server.load for server in dict.fromkeys((held.way.target, held.way.source))]
-        limits += [self.fills] * held.fills
-        return limits + [self.fetches] * (held.fills and not held.way.only_held)
+        if held.fills:
+            limits += (self.fills,) if held.way.only_held else (self.fills, self.fetches)
+        return limits
 
     def _may_repeat(self, held: Held, target: Server) -> bool:
         """Tell whether a pull that may have run may go to this cache as well."""
--- a/cometseam/timing/pace.py
+++ b/cometseam/timing/pace.py
@@ -28,6 +28,16 @@
     return without if span is None else spread(span, sending)
 
 
+def times(
+    plan: Plan, looks: bool, direct: bool, further: bool, sending: float, without: float, left: float
+) -> tuple[float, float]:
+    """Return a relay's time-out and after what time a second copy may go; `without`: where none is set."""
+    if plan is NO_PLAN:
+        return min(left, without), inf
+    kind = Kind.LOOK if looks else Kind.DIRECT if direct else Kind.FILL
+    return min(left, time_out(plan, kind, further, sending, without)), second_after(plan, sending)
+
+
 def second_after(plan: Plan, sending: float) -> float:
     """Return after what time a relay that is out is given up for another, where one may go; or never."""
     return inf if plan.second is None else spread(plan.second, sending)
