--- a/tests/drive.py
+++ b/tests/drive.py
@@ -262,6 +262,7 @@
         self.polled: list[int] = []  # the number that each poll asked from
         self.news = News()
         self.environment: dict[str, str] = {}
+        self.command = [sys.executable, "-m", "cometseam"]
         self.listens = b"listens"  # what the log says once it does
         self.process: Process
         self.path: Path
@@ -334,8 +335,7 @@
         self.path = path = folder / "config.json"
         path.write_text(json.dumps(self.config))
         self.process = await anyio.open_process(
-            [sys.executable, "-m", "cometseam"], stderr=PIPE,
-            env={**environ, "ROUTER_CONFIG": str(path), **self.environment},
+            self.command, stderr=PIPE, env={**environ, "ROUTER_CONFIG": str(path), **self.environment},
         )  # fmt: skip
         self._tasks.start_soon(self._read_log)
         await self.logged(self.listens)
@@ -379,12 +379,14 @@
 @asynccontextmanager
 async def world(
     folder: Path, *more: str, operator: Path | None = None, log: str = "text", listens: bytes = b"listens",
-    patience: float = PATIENCE, at: dict[str, str] | None = None, **limits: int,
+    patience: float = PATIENCE, at: dict[str, str] | None = None, command: list[str] | None = None,
+    **limits: int,
 ) -> AsyncIterator[World]:  # fmt: skip
     """The program among stand-ins for the sample's caches, and for more like its first."""
     here = World()
     here.config["limits"].update(limits)
     here.listens = listens
+    here.command = command or here.command
     here.environment = {"COMETSEAM_LOG_FORMAT": log}
     if operator is not None:
         here.environment["COMETSEAM_OPERATOR"] = str(operator)
