--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -159,6 +159,7 @@
         self.held: dict[int, Held] = {}  # a pull leaves when it is answered and none of its relays is out
         self.servers: dict[int, Server] = {}  # as the list has them; what is gone or draining leaves
         self.edges: list[Server] = []  # the caches of this zone, the parents by nearness, the origin
+        self.near: set[Server] = set()  # the same caches: a look-up costs the same however many there are
         self.parents: list[list[Server]] = [[], []]
         self.origin: Server | None = None
         self.tracks: OrderedDict[int, Track] = OrderedDict()  # past TRACKED the longest unasked leaves
@@ -225,6 +226,7 @@
         self.origin = next((server for server in by_id if server.told.kind == s.origin_kind), None)
         upper = (s.parent_kind, s.origin_kind)
         self.edges = [e for e in by_id if e.told.zone == s.zone and e.told.kind not in upper]
+        self.near = set(self.edges)
         if self.fills is self.fetches:
             pooled = sum(edge.load.size for edge in self.edges)
             self.fills, self.fetches = Limit(FILL_PART * pooled, self.lasts), Limit(4.0 * pooled, self.lasts)
@@ -321,7 +323,7 @@
     def _ways(self, held: Held) -> Iterator[Way]:
         """Tell where the pull may go, best first."""
         draws = held.drawn = held.drawn or sorted(self.edges, key=lambda e: -self._draw(held.wanted, e))
-        edges = [edge for edge in draws if edge in self.edges]
+        edges = [edge for edge in draws if edge in self.near]
         well = [edge for edge in edges if self._well(edge) and edge not in held.full]
         # A pull that two caches answer with an error is at fault itself: it is not sent round all of them.
         well = [edge for edge in well if not held.failures or (edge.credit >= 1.0 and held.errors < 2)]
@@ -335,10 +337,10 @@
         # A hot object, or a cache that is slow, must not jam one link while others have room: a cache that
         # would take most of the quoted time passes the pull on in hash order, and takes it back later.
         ample = SPILL * (held.quoted_by - self.now)
-        room = [edge for edge in well if held.sending * edge.load.stretch(self.now) <= ample]
+        room = {edge: None for edge in well if held.sending * edge.load.stretch(self.now) <= ample}
         # Overload: what cannot be answered by its quoted time would only slow down the others. Where all are
         # crowded the order stays the hash's: the least crowded of late would keep copies everywhere.
-        fit = room + [edge for edge in well if edge not in room and self._in_time(held, edge.load)]
+        fit = [*room, *(edge for edge in well if edge not in room and self._in_time(held, edge.load))]
         for edge in fit if well or held.failures else edges:  # nothing is well: better a try than none
             yield from self._at(held, edge)
 
@@ -552,7 +554,7 @@
 
     def _learn(self, held: Held, event: Ended) -> None:
         target, source, outcome, remark = held.way.target, held.way.source, event.outcome, event.remark
-        if self.settings.link_report < len(event.load) and target in self.edges:
+        if self.settings.link_report < len(event.load) and target in self.near:
             self.link_full = event.load[self.settings.link_report]
             others = 1.0 - 1.0 / self._sharing(target.told)  # its own part this front knows better
             self.fills.see(others * self.link_full, self.now)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -2,7 +2,10 @@
 
 from dataclasses import replace
 
+import pytest
+
 from cometseam import interface as i
+from cometseam.logic import Server
 from tests.drive import ORIGIN, PARENTS, SETTINGS, Drive, line
 
 
@@ -334,3 +337,23 @@
         if ill and drive.last[number].cache != 12:
             drive.end(number, after=20.0)
     drive.check("erring")
+
+
+def test_a_pull_in_a_large_zone_compares_caches_no_more_often_than_there_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    compared = [0]
+
+    def equal(one: Server, other: object) -> bool:
+        compared[0] += 1
+        return one is other
+
+    drive = Drive(caches=())
+    monkeypatch.setattr(Server, "__eq__", equal)
+    monkeypatch.setattr(Server, "__hash__", object.__hash__)
+    entries = [replace(line(12), cache=100 + place) for place in range(400)]
+    drive.tell(i.Members(i.ListKind.FULL, tuple(entries)))
+    compared[0] = 0
+    drive.pull(1)
+    drive.end(1)
+    assert compared[0] <= 400
