--- a/cometseam/levels/easing.py
+++ b/cometseam/levels/easing.py
@@ -7,7 +7,7 @@
 """
 
 from bisect import bisect_left
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from random import Random
 
 from cometseam.interface import Eased, Pull
@@ -76,6 +76,8 @@
         self._networks: OrderedDict[int, list[float]] = OrderedDict()  # [asked, shed]
         self._all = [0.0, 0.0]
         self.shed = 0
+        # Of what was left out: pulls shed by workload, fills and further relays that were not begun.
+        self.counts: Counter[str] = Counter()
 
     def take(self, told: Eased) -> None:
         """Take over what the level leaves out from now on."""
@@ -105,7 +107,9 @@
             self._read.move_to_end(pull.object)
             if len(self._read) > MOST_READ:
                 self._read.popitem(last=False)
-        self.shed += shed
+        if shed:
+            self.shed += 1
+            self.counts[f"shed.{pull.workload}"] += 1
         return shed
 
     def _is_read(self, now: float, pull: Pull, reading: float, shed: bool) -> bool:
@@ -135,7 +139,18 @@
     def may_fill(self, gaps: tuple[float, ...] | None, out: int, limit: float) -> bool:
         """Tell whether a fill may be begun with so many out of so many; no gaps: the object is first seen."""
         now = self.now
-        return (now.first_seen or gaps != ()) and (now.fills >= 1.0 or out < max(now.fills * limit, 1.0))
+        if not now.first_seen and gaps == ():
+            self.counts["first_seen_fills"] += 1
+            return False
+        if now.fills < 1.0 and out >= max(now.fills * limit, 1.0):
+            self.counts["fills"] += 1
+            return False
+        return True
+
+    def may_go_on(self) -> bool:
+        """Tell whether a further relay may go after a failure."""
+        self.counts["further_relays"] += not self.now.further
+        return self.now.further
 
     def later(self, usual: float) -> float:
         """Return the time after which a shed pull is told to come back: under a level longer, and spread."""
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -539,7 +539,7 @@
         held.open = held.open and not event.closed and event.outcome is not Outcome.OK
         if held.open and held.failures > failures:
             rest = wait(held.plan, held.failures, self.random)
-            on = self.easing.now.further and goes_on(held.plan, held.failures, event.outcome)
+            on = self.easing.may_go_on() and goes_on(held.plan, held.failures, event.outcome)
             if not on or rest + self.now > held.cut_off:
                 held.course.close()  # given up, and told at once
             elif rest > 0.0:
--- a/cometseam/routing/levels.py
+++ b/cometseam/routing/levels.py
@@ -45,6 +45,7 @@
         self._eased = front.easing.shed
         self._since = around.clock.now()
         level = self._begin(scheme)
+        self._workloads = workloads
         self._watch = Watch(scheme, routes, workloads, self._chance, histogram, level)
 
     def _begin(self, scheme: Scheme) -> int:
@@ -128,11 +129,18 @@
             self._since = now
         if eased is not None:
             self._decide(eased)
+        for what, count in front.easing.counts.items():
+            COUNTERS.counts[f"levels.left_out.{self._named(what)}"] = count
         for name, time in self._watch.times().items():
             COUNTERS.most[f"levels.s_in.{word(name)}"] = time
         if change is not None or now - self._kept >= KEPT_EVERY:
             self._keep(now)
 
+    def _named(self, what: str) -> str:
+        """Return what was left out with the workload by its name."""
+        kind, _, workload = what.partition(".")
+        return f"{kind}.{self._workloads[int(workload)]}" if workload else kind
+
     def _keep(self, now: float) -> None:
         self._kept = now
         path = self._watch.machine.scheme.keep
--- a/tests/test_front_levels.py
+++ b/tests/test_front_levels.py
@@ -111,6 +111,7 @@
     assert seen["answers without a pull"] == 0 and seen["errored"] == 0
     assert 1 <= len(told) <= 6 and counters["levels.changes"] == len(told)
     assert seen["shed"] == seen["told when to return"] == counters["levels.shed.less"] > 0
+    assert counters["levels.left_out.shed.maps"] == seen["shed"]
     assert seen["late"] < 0.02 * seen["asked"]
     assert counters["levels.s_in.less"] >= 10.0 or len(told) == 1
 
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -379,6 +379,9 @@
     drive.pull(6, wanted=80)
     drive.lack(6)
     assert drive.last[6].source != drive.last[6].cache
+    counts = drive.front.easing.counts
+    assert counts["shed.0"] == 1 and counts["further_relays"] == 1
+    assert counts["first_seen_fills"] >= 1 and counts["fills"] >= 1
 
 
 def test_what_is_kept_is_found_and_what_is_torn_or_old_is_not(tmp_path: Path) -> None:
