Drop a reading of the operator's file that a newer one overtook before it began

Cause: two SIGHUPs at once started two readings; the first had no scope yet to be cancelled, and might end last with the older file. Each reading has a number now; the test fails without it.

--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -71,9 +71,9 @@
                     log.move(new.changelog)
                 # Its evaluation takes a while: what was asked for before is no longer wanted. It is checked
                 # against the settings that run: others need a restart.
-                reader.cancel()
+                turn = reader.next()
                 if config.operator is not None:
-                    tasks.start_soon(reader.reread, config.operator, config.told)
+                    tasks.start_soon(reader.reread, turn, config.operator, config.told)
             say("front.drains", name=config.name)
             router.draining = True
             listener.drain()
@@ -95,18 +95,24 @@
     def __init__(self, router: Router) -> None:
         self._router = router
         self._scope = anyio.CancelScope()
+        self._turn = 0
 
-    def cancel(self) -> None:
-        """Give up the reading that is under way: a newer one is wanted."""
+    def next(self) -> int:
+        """Give up the reading that is under way: a newer one is wanted. Return the number of that one."""
         self._scope.cancel()
+        self._turn += 1
+        return self._turn
 
-    async def reread(self, path: Path, told: dict[str, Any]) -> None:
+    async def reread(self, turn: int, path: Path, told: dict[str, Any]) -> None:
         """Read and check the file, and hand it over; a faulty one is logged, and the one that runs stays.
 
-        Cancelled, its child is ended and nothing is changed.
+        Cancelled, its child is ended and nothing is changed; nor is it where a newer reading was asked for
+        before this one began.
         """
         from cometseam.operator.load import load_apart_async
 
+        if turn != self._turn:
+            return
         with anyio.CancelScope() as self._scope:
             try:
                 compiled = await load_apart_async(path, told)
--- a/tests/test_front_plans.py
+++ b/tests/test_front_plans.py
@@ -5,15 +5,19 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
 import pytest
 
 from cometseam.events import EVENTS
-from tests.drive import Caller, Got, World, order, world
+from cometseam.operator import Compiled
+from cometseam.operator.load import load
+from cometseam.program import OperatorsFile
+from tests.drive import SAMPLE, Caller, Got, World, order, world
 from tests.standins.caches import Answer, Caches
-from tests.test_operator import BAD
+from tests.test_operator import BAD, EXAMPLE
 
 pytestmark = pytest.mark.anyio
 GOOD = """{ version: 1, largest: { maps: '300KB', grids: '300KB' },
@@ -177,3 +181,25 @@
     assert len(elsewhere) > 25 and len(waited) > 15
     assert all(told == "grids-0" for told in waited)
     assert len(stalled) < 0.2 * len(waited)
+
+
+async def test_a_reading_that_a_newer_one_overtook_before_it_began_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    taken: list[str] = []
+    compiled = load(EXAMPLE, SAMPLE["settings"]).compiled
+
+    class Told:
+        def replan(self, new: Compiled) -> None:
+            taken.append(new.digest)
+
+    async def read(path: Path, _: dict[str, object]) -> Compiled:
+        await anyio.sleep(0)
+        return replace(compiled, digest=path.name)
+
+    monkeypatch.setattr("cometseam.operator.load.load_apart_async", read)
+    reader = OperatorsFile(Told())  # type: ignore[arg-type]
+    async with anyio.create_task_group() as tasks:
+        for name in ("older", "newer"):  # two signals at once: neither reading has begun
+            tasks.start_soon(reader.reread, reader.next(), Path(name), {})
+    assert taken == ["newer"]
