--- a/cometseam/counters.py
+++ b/cometseam/counters.py
@@ -14,6 +14,13 @@
     return (resident - shared) * resource.getpagesize()
 
 
+def memory_most() -> int:
+    """Tell how many bytes the process took at most; `ru_maxrss` counts those of its starter too."""
+    with open("/proc/self/status") as file:
+        line = next(line for line in file if line.startswith("VmHWM:"))
+    return int(line.split()[1]) * 1024
+
+
 class Counters:
     """Counts by name, and the most that some figures came to."""
 
@@ -32,8 +39,8 @@
 
     def sample(self) -> None:
         """Look at what the process takes."""
-        self.see("memory_mb", resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0)
         with suppress(OSError):  # there may be no descriptor left to look with
+            self.see("memory_mb", memory_most() / (1 << 20))
             self.see("descriptors", len(os.listdir("/proc/self/fd")))
 
     def all(self) -> dict[str, int | float]:
--- a/cometseam/timing/budget.py
+++ b/cometseam/timing/budget.py
@@ -27,7 +27,8 @@
         self.first = self.further = 0
 
     def _roll(self, now: float) -> None:
-        while self._counts and self._counts[0][0] <= now - self.terms.window:
+        # A slice leaves when all of it is older: what was counted late in it must not leave too early.
+        while self._counts and self._counts[0][0] + self._slice <= now - self.terms.window:
             _, first, further = self._counts.popleft()
             self.first -= int(first)
             self.further -= int(further)
