Read the operator's file sealed by check where no child may start; two import circles gone

Cause: the fleet's platform refuses fork and exec, and a front evaluated its operator's file only in a child (operator/load.py), so at the start a named file ended the front and at SIGHUP every reading was refused.

A front named a .json file reads it in its own process, bounded by size, on a worker thread at SIGHUP; torn, edited, other settings or another version: one line, and what runs stays. Jsonnet on a thread in the front was tried by a probe and not taken: the library lets go of the GIL, but a file that loops can't be stopped, and a thread busy 20 s is a crash there.

--- a/cometseam/cli/loading.py
+++ b/cometseam/cli/loading.py
@@ -60,3 +60,19 @@
             for fault in refused.faults:
                 print(fault, file=sys.stderr)
         raise typer.Exit(refused_is) from refused
+
+
+def write_sealed(path: Path, loaded: Loaded, settings: dict[str, Any]) -> None:
+    """Write the sealed form of a checked file, whole or not at all; a name not in .json is refused."""
+    from cometseam.operator.compiled import write
+    from cometseam.operator.sealed import SUFFIX, seal
+
+    if not path.name.endswith(SUFFIX):
+        unusable(f"--seal {path}: a front takes a sealed form by a name in {SUFFIX}")
+    text = seal(write(loaded.compiled, loaded.networks), settings)
+    part = path.with_name(f".{path.name}.part")
+    try:
+        part.write_bytes(text)
+        os.replace(part, path)
+    except OSError as error:
+        unusable(f"--seal {path}: {error.strerror}")
--- a/cometseam/cli/main.py
+++ b/cometseam/cli/main.py
@@ -9,7 +9,7 @@
 import typer
 
 from cometseam.cli.levels import app as levels_app
-from cometseam.cli.loading import Against, AsJson, File, load_file, unusable
+from cometseam.cli.loading import Against, AsJson, File, load_file, settings_of, unusable, write_sealed
 from cometseam.cli.show import explained, rendered
 from cometseam.config import FORM_VARIABLE, OPERATOR_VARIABLE
 from cometseam.timing.table import Sight, whole_address, whole_size
@@ -35,7 +35,7 @@
     log_format: Annotated[Form | None, typer.Option(help="How log lines look.")] = None,
 ) -> None:
     """Run a front until SIGTERM, as `python -m cometseam` alone does."""
-    from cometseam.__main__ import serve as run
+    from cometseam.serving import serve as run
 
     if operator is not None:
         os.environ[OPERATOR_VARIABLE] = str(operator)
@@ -45,13 +45,24 @@
 
 
 @app.command()
-def check(file: File, against: Against = None, as_json: AsJson = False) -> None:
+def check(
+    file: File,
+    against: Against = None,
+    as_json: AsJson = False,
+    seal: Annotated[
+        Path | None,
+        typer.Option(help="Write the sealed form here, for fronts that may start no child: a name in .json."),
+    ] = None,
+) -> None:
     """Check an operator's file whole, against the platform's settings; all faults are told at once.
 
-    Status 1 where it may not be loaded.
+    Status 1 where it may not be loaded. With `--seal`, the checked file is written in the form that a front
+    reads in its own process; it is replaced whole or not at all.
     """
     loaded = load_file(file, against, as_json, refused_is=1)
     compiled = loaded.compiled
+    if seal is not None:
+        write_sealed(seal, loaded, settings_of(against))
     told = {
         "good": True,
         "digest": compiled.digest,
--- a/cometseam/operator/compile.py
+++ b/cometseam/operator/compile.py
@@ -10,12 +10,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cometseam.interface import Allowance, Kind, Plan, Plans, Settings, Span
+from cometseam.interface import Allowance, Kind, Plan, Plans, Span
 from cometseam.operator.compiled import Compiled
 from cometseam.operator.levels import read_levels
 from cometseam.operator.networks import Networks, told
+from cometseam.operator.platform import Platform
 from cometseam.operator.schema import BudgetForm, FileForm, MatchForm, PlanForm, RouteForm
-from cometseam.settings import Links, Names
 from cometseam.timing.grow import Grower, covered, neighbours
 from cometseam.timing.prove import WORDS, Terms, prove
 from cometseam.timing.sets import Intervals, common, joined, whole, without
@@ -26,15 +26,6 @@
 LEAVES = ("time_outs", "relays", "wait", "second", "retry_on", "budget", "later", "until")
 
 
-@dataclass(frozen=True, slots=True)
-class Platform:
-    """What the platform's configuration settles, and the file is checked against."""
-
-    settings: Settings
-    names: Names
-    links: Links
-
-
 @dataclass(frozen=True, slots=True)
 class Entry:
     """One line of the compiled routes."""
--- a/cometseam/operator/levels.py
+++ b/cometseam/operator/levels.py
@@ -1,22 +1,19 @@
 """From the form of the levels to a scheme, with the checks that take more than one value."""
 
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING
 
 from cometseam.levels import Condition, Leaf, Level, Measures, Scheme, ShedShare
 from cometseam.levels.scheme import FULL, does_no_less
 from cometseam.levels.signals import MOST, known
+from cometseam.operator.platform import Platform
 from cometseam.operator.schema import ConditionForm, LevelForm, LevelsForm, RouteForm
 
-if TYPE_CHECKING:
-    from cometseam.operator.compile import Platform
-
 Path = tuple[str | int, ...]
 Complain = Callable[[Path, str], None]
 
 
 def read_levels(
-    form: LevelsForm | None, platform: "Platform", routes: list[RouteForm], complain: Complain
+    form: LevelsForm | None, platform: Platform, routes: list[RouteForm], complain: Complain
 ) -> Scheme | None:
     """Return the scheme that a form stands for; what is wrong is told."""
     if form is None:
@@ -38,7 +35,7 @@
 
 
 class _Reader:
-    def __init__(self, platform: "Platform", routes: set[str], complain: Complain) -> None:
+    def __init__(self, platform: Platform, routes: set[str], complain: Complain) -> None:
         self._platform, self._routes, self._complain = platform, routes, complain
         self._workloads = platform.names.workloads
         self._known = known(self._workloads)
--- a/cometseam/operator/load.py
+++ b/cometseam/operator/load.py
@@ -1,7 +1,9 @@
 """Loads the operator's file: here, for commands that only look at it; in a child, for a front that serves.
 
 The child evaluates within bounds of time and memory and checks all; whatever the file does to it, the front
-only hears that it was refused.
+only hears that it was refused. Where the platform starts no child, a front is named the file's sealed form
+(`sealed`), which it reads in its own process without evaluating anything; `for_front` and
+`for_front_async` choose by the name.
 """
 
 import json
@@ -15,6 +17,7 @@
 import anyio
 
 from cometseam.operator.compiled import Compiled, Fault, Refused, read
+from cometseam.operator.sealed import is_sealed, load_sealed
 
 EVALUATION = 1.8  # s for the child to come up and evaluate
 CHECKS = 20.0  # s for all, the tree over ten thousand routes included
@@ -32,9 +35,10 @@
 
 def load(path: Path, settings: dict[str, Any]) -> Loaded:
     """Evaluate and check a file here; `settings` is the object of that name in the configuration."""
-    from cometseam.operator.compile import Compiler, Platform
+    from cometseam.operator.compile import Compiler
     from cometseam.operator.evaluate import evaluate
     from cometseam.operator.locate import locate
+    from cometseam.operator.platform import Platform
     from cometseam.operator.schema import fault, form
     from cometseam.reading import Section
     from cometseam.settings import read_links, read_names, read_settings
@@ -110,6 +114,12 @@
     raise Refused([Fault("", f"{path.name}: {why}")])
 
 
+def _no_child(path: Path, error: OSError) -> Refused:
+    """Guards against a platform that refuses to start processes (ENOSYS, EPERM, EAGAIN from fork or exec)."""
+    why = f"no child can be started here ({error.strerror}): name its sealed form, `cometseam check --seal`"
+    return Refused([Fault("", f"{path.name}: {why}")])
+
+
 def load_apart(path: Path, settings: dict[str, Any]) -> Compiled:
     """Load a file in a child, and wait for it: at the start, when nothing is served yet."""
     try:
@@ -118,12 +128,29 @@
         )
     except subprocess.TimeoutExpired as error:
         raise Refused([Fault("", f"{path.name}: its checks take too long")]) from error
+    except OSError as error:
+        raise _no_child(path, error) from error
     return _answer(path, done.returncode, done.stdout, done.stderr)
 
 
 async def load_apart_async(path: Path, settings: dict[str, Any]) -> Compiled:
     """Load a file in a child beside what is served; cancelled, or past its time, the child is ended."""
     with anyio.move_on_after(CHECKS):
-        done = await anyio.run_process(COMMAND, input=_question(path, settings), check=False)
+        try:
+            done = await anyio.run_process(COMMAND, input=_question(path, settings), check=False)
+        except OSError as error:
+            raise _no_child(path, error) from error
         return _answer(path, done.returncode, done.stdout, done.stderr)
     raise Refused([Fault("", f"{path.name}: its checks take too long")])
+
+
+def for_front(path: Path, settings: dict[str, Any]) -> Compiled:
+    """Load the file that a front is named at its start: a sealed form here, Jsonnet in a child."""
+    return load_sealed(path, settings) if is_sealed(path) else load_apart(path, settings)
+
+
+async def for_front_async(path: Path, settings: dict[str, Any]) -> Compiled:
+    """Load it anew beside what is served: a sealed form on a worker thread, so that the loop goes on."""
+    if is_sealed(path):
+        return await anyio.to_thread.run_sync(load_sealed, path, settings, abandon_on_cancel=True)
+    return await load_apart_async(path, settings)
--- /dev/null
+++ b/cometseam/operator/sealed.py
@@ -0,0 +1,113 @@
+"""The sealed form of an operator's file: what a front reads where it may start no child process.
+
+A Jsonnet file may loop or swell, so a front evaluates one only in a child that its bounds can end
+(`load.load_apart`). Some platforms start no child: there `cometseam check FILE --seal OUT` evaluates and
+checks the file on the operator's side, within the same bounds, and writes what a front needs as JSON. A
+front reads that form in its own process; reading it is bounded by its size and does no evaluation.
+
+The form, one JSON object:
+
+    {"sealed": 1, "against": <16 hex digits>, "check": <16 hex digits>, "compiled": <as `compiled.write`>}
+
+`against` is a digest of the settings that the file was checked against; a front whose settings differ
+refuses the form, since the proof of the plans (cut-offs, quoted times) held for those settings alone.
+`check` is a digest of the text of `compiled` as written, so that a torn or edited form is refused rather
+than half read. Every fault is a `Refused` with one plain reason; nothing else is raised.
+"""
+
+import hashlib
+import json
+import os
+from pathlib import Path
+from typing import Any
+
+from cometseam.operator.compiled import Compiled, Fault, Refused, read
+
+VERSION = 1
+MOST = 16 << 20  # bytes of a sealed form; what `evaluate.MOST_TEXT` lets a file come to, compiled, fits
+SUFFIX = ".json"  # an operator's file named so is taken as sealed; any other is Jsonnet
+KEYS = frozenset({"sealed", "against", "check", "compiled"})
+
+
+def settings_digest(settings: dict[str, Any]) -> str:
+    """Return 16 hex digits that tell one object of settings from another, whatever the order of its keys."""
+    text = json.dumps(settings, sort_keys=True, separators=(",", ":"), allow_nan=False)
+    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+
+def _check(text: bytes) -> str:
+    return hashlib.blake2b(text, digest_size=8).hexdigest()
+
+
+def seal(compiled_text: bytes, settings: dict[str, Any]) -> bytes:
+    """Return the sealed form of what `compiled.write` wrote, checked against `settings`."""
+    inner = json.loads(compiled_text)
+    canonical = json.dumps(inner, sort_keys=True, separators=(",", ":")).encode()
+    whole = {
+        "sealed": VERSION,
+        "against": settings_digest(settings),
+        "check": _check(canonical),
+        "compiled": inner,
+    }
+    return json.dumps(whole, sort_keys=True, separators=(",", ":")).encode() + b"\n"
+
+
+def is_sealed(path: Path) -> bool:
+    """Tell whether a front takes this file as sealed (by its name: the file may be unreadable yet)."""
+    return path.name.endswith(SUFFIX)
+
+
+def read_bounded(path: Path, most: int = MOST) -> bytes:
+    """Read a whole file of at most `most` bytes; what can't be read is `Refused`."""
+    try:
+        with open(path, "rb") as file:
+            text = file.read(most + 1)
+            size = os.fstat(file.fileno()).st_size
+    except OSError as error:
+        raise Refused([Fault("", f"{path.name}: {error.strerror}")]) from error
+    if len(text) > most:
+        raise Refused([Fault("", f"{path.name}: larger than {most >> 20} MB")])
+    if len(text) != size:
+        raise Refused([Fault("", f"{path.name}: changed while it was read")])
+    return text
+
+
+def unseal(text: bytes, settings: dict[str, Any], name: str = "sealed form") -> Compiled:
+    """Return what a sealed form holds, where it is whole and was checked against these settings.
+
+    Raises `Refused` for text that is not JSON, a form of another version, keys missing or unknown, a
+    check that does not match (torn or edited), settings that differ, or a compiled part that can't be read.
+    """
+
+    def refused(why: str) -> Refused:
+        return Refused([Fault("", f"{name}: {why}")])
+
+    try:
+        whole = json.loads(text, parse_constant=_no_constant)
+    except (ValueError, RecursionError) as error:
+        raise refused("not a sealed form: its JSON can't be read") from error
+    if not isinstance(whole, dict):
+        raise refused("not a sealed form: an object was expected")
+    if (keys := set(whole)) != KEYS:
+        wrong = sorted(keys ^ KEYS)
+        raise refused(f"not a sealed form: keys {', '.join(wrong)} missing or unknown")
+    if whole["sealed"] != VERSION:
+        raise refused(f"sealed by another version ({whole['sealed']!r}); seal it again")
+    canonical = json.dumps(whole["compiled"], sort_keys=True, separators=(",", ":")).encode()
+    if whole["check"] != _check(canonical):
+        raise refused("its check does not match: torn or edited after it was sealed")
+    if whole["against"] != settings_digest(settings):
+        raise refused("sealed against other settings than those that run; seal it again against them")
+    try:
+        return read(canonical)
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise refused(f"its compiled part can't be read ({type(error).__name__})") from error
+
+
+def load_sealed(path: Path, settings: dict[str, Any]) -> Compiled:
+    """Read and open a sealed form in this process; bounded by `MOST` bytes, no evaluation."""
+    return unseal(read_bounded(path), settings, path.name)
+
+
+def _no_constant(word: str) -> Any:
+    raise ValueError(f"{word}: a finite number was expected")
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -109,13 +109,13 @@
         Cancelled, its child is ended and nothing is changed; nor is it where a newer reading was asked for
         before this one began.
         """
-        from cometseam.operator.load import load_apart_async
+        from cometseam.operator.load import for_front_async
 
         if turn != self._turn:
             return
         with anyio.CancelScope() as self._scope:
             try:
-                compiled = await load_apart_async(path, told)
+                compiled = await for_front_async(path, told)
             except Refused as refused:
                 COUNTERS.add("operator.refused")
                 for fault in refused.faults[:MOST_FAULTS]:
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as some
 
 from cometseam import interface as i
-from cometseam.operator.compile import Compiler, Platform
+from cometseam.operator.compile import Compiler
+from cometseam.operator.platform import Platform
 from cometseam.operator.schema import form
 from cometseam.settings import Links, Names
 from cometseam.timing import Sight, whole_size
