Trails of pulls: one line for each pull that ends wrongly, with its relays, in a budget

Change: cometseam/tracing (no I/O) keeps, for each open pull, its client id, workload, quoted time, cut-off and up to 12 steps (relay: cache, source, time-out; end: word or how, why, lag), in ms from arrival. Every final answer passes Router._settle, which now names its kind; there the trail leaves the table and, with COMETSEAM_TRACE=wrong, is logged as pull.traced where the pull was shed, errored, hung up, overdue or late; all: always. 20 lines a second after a burst of 40; the table holds what the front may have open. Off by default: the router builds no tracer and the path of a pull is unchanged.

Measured: tests/test_tracing.py, the budget, bounds, a clock that goes back, and a real front on loopback whose cache never answers (one line, its id, the relay to that cache).

--- a/cometseam/config.py
+++ b/cometseam/config.py
@@ -12,9 +12,11 @@
 from cometseam.settings import Links, Names, read_links, read_names, read_settings
 
 VARIABLE, LOG_VARIABLE, FORM_VARIABLE = "ROUTER_CONFIG", "COMETSEAM_LOG", "COMETSEAM_LOG_FORMAT"
+TRACE_VARIABLE = "COMETSEAM_TRACE"  # off, wrong or all: which pulls' trails are logged
 OPERATOR_VARIABLE = "COMETSEAM_OPERATOR"
 LOG_FORMS = {"text": "text", "json": "json"}
 LOG_LEVELS = {level: level for level in ("DEBUG", "INFO", "WARNING", "ERROR")}
+TRACES = {mode: mode for mode in ("off", "wrong", "all")}
 # Clients hold a third of the descriptors at most: half leaves place for those that only hold connections.
 CLIENTS_PART, PEERS_PART = 2, 3
 
@@ -37,6 +39,7 @@
     links: Links
     log_level: str
     log_form: str
+    trace: str  # which pulls' trails are logged: off, wrong, all
     operator: Path | None  # the operator's file
     told: dict[str, Any]  # the settings as they were given: what the operator's file is checked against
 
@@ -92,6 +95,7 @@
         links=read_links(settings),
         log_level=environment.one_of(LOG_VARIABLE, LOG_LEVELS, "INFO"),
         log_form=environment.one_of(FORM_VARIABLE, LOG_FORMS, "text"),
+        trace=environment.one_of(TRACE_VARIABLE, TRACES, "off"),
         operator=Path(path) if (path := environment.text(OPERATOR_VARIABLE, "")) else None,
         told=settings.values,
     )
--- a/cometseam/events.py
+++ b/cometseam/events.py
@@ -65,6 +65,10 @@
         "INFO", "operator's file: taken over, {routes} routes, {plans} plans, digest {digest}",
         {"routes": int, "plans": int, "digest": str},
     ),
+    "pull.traced": Known(
+        "INFO", "pull {id} ({workload}) {kind} after {took} ms, {late} of {quoted}: {steps}",
+        {"id": str, "workload": str, "kind": str, "took": float, "quoted": float, "late": str, "steps": str},
+    ),
     "peer.connection_failed": Known("ERROR", "{peer}: a connection failed", {"peer": str}),
     "peer.counters": Known("INFO", "peer ({why}): {peer} {ends}", {"why": str, "peer": str, "ends": dict}),
     "peer.message_failed": Known("ERROR", "{peer}: a message failed", {"peer": str}),
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -14,6 +14,7 @@
 from cometseam.operator import Compiled, Refused
 from cometseam.reading import Faulty
 from cometseam.routing.actor import Router
+from cometseam.tracing import Mode, Tracer
 from cometseam.transport.buffers import Pool
 from cometseam.transport.changelog import ChangeLog
 from cometseam.transport.client import MOST_OPEN, Listener
@@ -38,7 +39,8 @@
     pool = Pool((config.memory - taken) // POOL_PART)
     around = Surroundings(config.links, pool, clock, timers, config.peers)
     front = Front(config.seed, config.settings)
-    router = Router(front, config.names, config.clients * MOST_OPEN, around, config.seed)
+    tracer = Tracer(Mode(config.trace), most_open=config.clients * MOST_OPEN)
+    router = Router(front, config.names, config.clients * MOST_OPEN, around, config.seed, tracer)
     listener = Listener(config.listen, config.clients, pool, clock, router)
     # Where buffers run short, a client that takes nothing for as long as a peer may take to connect goes.
     pool.on_short = lambda: listener.make_room(config.links.connect_within)
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -20,9 +20,11 @@
 from cometseam.operator import Compiled
 from cometseam.protocol.changelog import Change, Listing, Purge
 from cometseam.protocol.frames import Order
+from cometseam.protocol.resp import Answer
 from cometseam.routing import translate
 from cometseam.settings import Names
 from cometseam.timing import Table
+from cometseam.tracing import Mode, Told, Tracer
 from cometseam.transport.client import Client
 from cometseam.transport.clock import Timer
 from cometseam.transport.peer import Ask, End, GiveUp, How, Peer, Surroundings
@@ -89,8 +91,9 @@
     """The actor round one `Front`."""
 
     def __init__(
-        self, front: Front, names: Names, most_open: int, around: Surroundings, seed: int = 0
-    ) -> None:
+        self, front: Front, names: Names, most_open: int, around: Surroundings, seed: int = 0,
+        tracer: Tracer | None = None,
+    ) -> None:  # fmt: skip
         self._seed = seed  # of what is drawn beside the module: how much later than others levels change
         self._levels: Levels | None = None
         self._front, self._names, self._around = front, names, around
@@ -108,6 +111,8 @@
         self._table: Table | None = None  # of the operator's routes; pulls that are open keep their plan
         self._listed = False
         self.draining = False
+        self._tracer = tracer if tracer is not None and tracer.mode is not Mode.OFF else None
+        self._quoted = [each.quoted for each in front.settings.workloads] if self._tracer is not None else []
 
     # What others tell it
 
@@ -194,7 +199,7 @@
                 pull = self._by_stream.get((message.client, message.stream))
                 if pull is not None:
                     COUNTERS.add("pull.hung_up")
-                    self._settle(pull)
+                    self._settle(pull, "hung_up")
                     self._decide(i.HungUp(pull.number))
             case i.Rang():
                 self._decide(message)
@@ -237,6 +242,9 @@
         self._by_stream[taken.client, taken.stream] = pull
         COUNTERS.add("pull.taken")
         COUNTERS.see("pull.open", len(self._open))
+        if self._tracer is not None:
+            quoted = self._quoted[workload] if workload < len(self._quoted) else cut_off - taken.at
+            self._tracer.taken(pull.number, order.id, order.workload, taken.at, quoted, cut_off - taken.at)
         # Guards the first rule against faults of this program: within the grace, whatever else happens.
         due = cut_off + self._around.links.answer_grace
         pull.timer = self._around.timers.at(due, lambda: self._overdue(pull))
@@ -244,7 +252,7 @@
 
     def _overdue(self, pull: Open) -> None:
         if pull.owed:
-            self._settle(pull)
+            self._settle(pull, "overdue")
             pull.client.errored(pull.stream)
             invariant(False, "an answer by the cut-off")
 
@@ -303,7 +311,7 @@
                 say("module.failed", error, kind=type(event).__name__)
                 pull = self._open.get(getattr(event, "id", -1))
                 if pull is not None and pull.owed:
-                    self._settle(pull)
+                    self._settle(pull, "errored")
                     pull.client.errored(pull.stream)
 
     def _act(self, action: i.Action) -> None:
@@ -314,7 +322,7 @@
                 pull = self._open.get(action.id)
                 if pull is None or not pull.owed:
                     return
-                self._settle(pull)
+                self._settle(pull, "shed" if isinstance(action, i.Shed) else "errored")
                 if isinstance(action, i.Shed):
                     self._told(pull, "shed")
                     pull.client.shed(pull.stream, action.come_back_in)
@@ -349,6 +357,10 @@
         pull.relays += 1
         pull.out = Out(relay, ask, peer)
         COUNTERS.add("relay.sent")
+        if self._tracer is not None:
+            line = self._roster.get(relay.cache)
+            named = line.name if line is not None else str(relay.cache)
+            self._tracer.relay(pull.number, now, named, source.name if source else "", relay.time_out)
         if peer is None or not peer.mailbox.offer(ask):
             COUNTERS.add("relay.no_room")
             self._report(End(ask, How.UNSENT))
@@ -375,8 +387,10 @@
                 body.free()
             return
         cache, pull.out = pull.out.relay.cache, None
+        if self._tracer is not None:
+            self._trace_end(pull, cache, kind, answer)
         if answer is not None and answer.outcome is i.Outcome.OK and pull.owed:
-            self._settle(pull)
+            self._settle(pull, "finished")
             self._told(pull, "finished")
             pull.client.served(pull.stream, answer.copy_holds, body)
         elif body is not None:
@@ -393,10 +407,20 @@
         if self._levels is not None:
             self._levels.answered(pull.event, pull.taken_at, kind)
 
-    def _settle(self, pull: Open) -> None:
+    def _trace_end(self, pull: Open, cache: int, kind: str, answer: Answer | None) -> None:
+        assert self._tracer is not None
+        line = self._roster.get(cache)
+        why = answer.remark.name.lower() if answer is not None and answer.remark is not i.Remark.NONE else ""
+        lag = f"{answer.waited:.0f}" if answer is not None and answer.waited else ""
+        now = self._around.clock.now()
+        self._tracer.ended(pull.number, now, line.name if line is not None else str(cache), kind, why, lag)
+
+    def _settle(self, pull: Open, kind: str = "settled") -> None:
         """No answer is owed any more: every final answer passes here, just before it is written."""
         if pull.owed:
             COUNTERS.see("answer_past_cut_off_ms", self._around.clock.now() - pull.cut_off)
+            if self._tracer is not None:
+                self._tell(self._tracer.answered(pull.number, self._around.clock.now(), kind))
         pull.owed = False
         if pull.timer is not None:
             pull.timer.cancel()
@@ -405,6 +429,13 @@
             self._ids.discard(pull.order.id)
             pull.order.frame.free()
 
+    def _tell(self, told: Told | None) -> None:
+        if told is None:
+            return
+        COUNTERS.add("trace.told")
+        say("pull.traced", id=told.id, workload=told.workload, kind=told.kind, took=told.took,
+            quoted=told.quoted, late="late" if told.late else "in time", steps=told.text())  # fmt: skip
+
     def peers(self) -> list[tuple[str, dict[str, int]]]:
         """Tell for each peer how relays to it ended."""
         peers = sorted(self._peers.values(), key=lambda peer: peer.name)
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -382,14 +382,14 @@
 async def world(
     folder: Path, *more: str, operator: Path | None = None, log: str = "text", listens: bytes = b"listens",
     patience: float = PATIENCE, at: dict[str, str] | None = None, command: list[str] | None = None,
-    **limits: int,
+    environment: dict[str, str] | None = None, **limits: int,
 ) -> AsyncIterator[World]:  # fmt: skip
     """The program among stand-ins for the sample's caches, and for more like its first."""
     here = World()
     here.config["limits"].update(limits)
     here.listens = listens
     here.command = command or here.command
-    here.environment = {"COMETSEAM_LOG_FORMAT": log}
+    here.environment = {"COMETSEAM_LOG_FORMAT": log, **(environment or {})}
     if operator is not None:
         here.environment["COMETSEAM_OPERATOR"] = str(operator)
     with anyio.fail_after(patience):
