One owner at a time: ownership machine, fence, etcd stand-in, faults between processes

Fleet work has no single doer; an owner paused past its lease and resumed could still land its effects, which the operators name as the case that must do no harm.

A Fence at each target refuses tokens lower than it has let through. cometseam/coordination holds a task on etcd's v3 API through aetcd under anyio: a lease, a Txn on the key's create revision (the token), renewals. tests/standins/etcd.py serves KV, Lease and Watch with aetcd's own servicers, a write-ahead file and leases extended after a freeze; tests/standins/faults.py is our fault proxy and a fenced target.

--- /dev/null
+++ b/cometseam/coordination/elect.py
@@ -0,0 +1,123 @@
+"""Holding a task on etcd's v3 API, through the `aetcd` client under anyio: campaign, renew, watch who holds
+it.
+
+The decisions are `cometseam.ownership.Owner`'s; this file only asks the service and tells the machine what it
+saw, with the time each request was *sent* (the lease is counted from then, never from when the answer came).
+A campaign is one transaction (etcd's published Txn): if the task's key has never been created
+(`create_revision == 0`), put it with this front's lease, else read who holds it. The fencing token is the
+revision at which the key was created; a later owner's key is created later, so its token is higher.
+
+What cancels a call: leaving the task group of `hold`; a request that takes longer than the terms' round trip
+is abandoned and counts as not answered (it guards against a link that hangs rather than fails).
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import aetcd
+import anyio
+
+from cometseam.ownership import Owner, State, Terms
+
+Clock = Callable[[], float]  # ms, monotonic
+UNANSWERED: Any = object()  # what `_ask` returns for a request that failed or took too long
+
+
+@dataclass(frozen=True)
+class Place:
+    """Where the service is, as `host:port` on loopback or a fleet's address."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Place":
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdigit():
+            raise ValueError(f"coordination: {text!r} is not host:port")
+        return cls(host, int(port))
+
+
+def key_of(task: str) -> bytes:
+    """The task's key on the service."""
+    return f"/cometseam/owners/{task}".encode()
+
+
+class Holder:
+    """One front's hold on one task: `run` campaigns and renews for as long as it is not cancelled."""
+
+    def __init__(self, client: aetcd.Client, task: str, name: str, terms: Terms, clock: Clock) -> None:
+        self.client = client
+        self.owner = Owner(task, terms)
+        self.name = name
+        self.clock = clock
+        self.lease: Any = None
+        self.asked = 0  # requests sent to the service, for the measure of its load
+
+    async def _ask(self, call: Awaitable[Any]) -> Any:
+        """One request, abandoned after twice the expected round trip; `UNANSWERED` where not answered."""
+        self.asked += 1
+        with anyio.move_on_after(2 * self.owner.terms.round_trip_ms / 1000.0):
+            try:
+                return await call
+            except Exception:  # the link failed or the service refused: not answered
+                return UNANSWERED
+        return UNANSWERED
+
+    async def campaign(self) -> None:
+        """Ask for a lease and try to create the task's key with it; tell the machine what came of it."""
+        now = self.clock()
+        if not self.owner.campaign(now):
+            return
+        sent = self.clock()
+        lease = await self._ask(self.client.lease(max(int(self.owner.terms.ttl_ms // 1000), 1)))
+        if lease is UNANSWERED:
+            return
+        key = key_of(self.owner.task)
+        tx = self.client.transactions
+        answer = await self._ask(
+            self.client.transaction(
+                compare=[tx.create(key) == 0],
+                success=[tx.put(key, self.name.encode(), lease)],
+                failure=[tx.get(key)],
+            )
+        )
+        if answer is UNANSWERED:
+            await self._ask(lease.revoke())
+            return
+        succeeded, replies = answer
+        if succeeded:
+            self.lease = lease
+            self.owner.won(replies[0].response_put.header.revision, sent, self.clock())
+        else:
+            await self._ask(lease.revoke())  # not needed: let it go at once rather than at its end
+
+    async def renew(self) -> None:
+        """Renew the lease, then look at who holds the key."""
+        if self.lease is None:
+            return
+        sent = self.clock()
+        reply = await self._ask(self.lease.refresh())
+        if reply is not UNANSWERED and reply is not None:
+            self.owner.renewed(sent, float(reply.TTL) * 1000.0, self.clock())
+        held = await self._ask(self.client.get(key_of(self.owner.task)))
+        if held is not UNANSWERED:  # `get` answers None for a key that is not there
+            self.owner.saw(held.create_revision if held is not None else 0, self.clock())
+        self.owner.tick(self.clock())
+        if self.owner.state is State.LOST:
+            self.lease = None
+
+    async def run(self) -> None:
+        """Campaign and renew every `renew_ms`, until cancelled; on the way out, give the lease back."""
+        try:
+            while True:
+                if self.lease is None:
+                    await self.campaign()
+                else:
+                    await self.renew()
+                await anyio.sleep(self.owner.terms.renew_ms / 1000.0)
+        finally:
+            if self.lease is not None:
+                with anyio.CancelScope(shield=True), anyio.move_on_after(0.5):
+                    await self._ask(self.lease.revoke())
--- /dev/null
+++ b/tests/standins/etcd.py
@@ -0,0 +1,412 @@
+"""A stand-in for etcd's v3 API, written from its published documents, served with the client library's own
+servicers.
+
+KV (Range, Put, DeleteRange, Txn, Compact), Lease (Grant, Revoke, KeepAlive, TimeToLive) and Watch, over gRPC
+on loopback, one member. What it keeps: keys with create, mod revisions and versions; leases with their keys;
+the events since the last compaction (a bounded list: `HISTORY` entries at most, the oldest compacted first).
+Faults it can be told by its owner (a test): a pause of the process (SIGSTOP) is a frozen leader, and on the
+first tick after, every lease is extended by the gap, as etcd's new leader renews leases to their full TTL;
+`--wal FILE` writes every change before answering and fsyncs it, and a restart replays it (leases get their
+full TTL back, as etcd does on recovery).
+
+    python -m tests.standins.etcd --port 0 --wal FILE     # prints "listening PORT" and serves until SIGTERM
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import grpc
+from aetcd.rpc import kv_pb2, rpc_pb2, rpc_pb2_grpc
+
+HISTORY = 10_000  # events kept for watches from an old revision
+TICK = 0.05  # s between looks at leases
+GAP = 0.5  # s: a tick this late means the process was frozen
+
+
+@dataclass
+class Lease:
+    ttl: int  # s, as granted
+    deadline: float  # monotonic s
+    keys: set[bytes] = field(default_factory=set)
+
+
+class Store:
+    """The state of one member: revisions, keys, leases, events; every change goes through `_apply`."""
+
+    def __init__(self, wal: str | None = None) -> None:
+        self.revision = 1
+        self.compacted = 0
+        self.keys: dict[bytes, kv_pb2.KeyValue] = {}
+        self.leases: dict[int, Lease] = {}
+        self.events: list[kv_pb2.Event] = []
+        self.next_lease = 0x1000
+        self.watchers: set[asyncio.Queue[kv_pb2.Event | None]] = set()
+        self.wal = None
+        if wal is not None:
+            if os.path.exists(wal):
+                self._replay(wal)
+            self.wal = open(wal, "a")  # noqa: SIM115 - kept open for the life of the member
+
+    def header(self) -> rpc_pb2.ResponseHeader:
+        return rpc_pb2.ResponseHeader(cluster_id=1, member_id=1, revision=self.revision, raft_term=1)
+
+    # -- the log of changes: written and fsynced before a change is answered
+    def _log(self, entry: dict[str, Any]) -> None:
+        if self.wal is not None:
+            self.wal.write(json.dumps(entry) + "\n")
+            self.wal.flush()
+            os.fsync(self.wal.fileno())
+
+    def _replay(self, path: str) -> None:
+        with open(path) as file:
+            for line in file:
+                try:
+                    entry = json.loads(line)
+                except json.JSONDecodeError:
+                    break  # a torn last line: what was not written whole was never answered
+                kind = entry["kind"]
+                if kind == "grant":
+                    self.leases[entry["id"]] = Lease(entry["ttl"], time.monotonic() + entry["ttl"])
+                    self.next_lease = max(self.next_lease, entry["id"] + 1)
+                elif kind == "revoke":
+                    self._drop_lease(entry["id"], log=False)
+                elif kind == "put":
+                    self._put(
+                        bytes.fromhex(entry["key"]), bytes.fromhex(entry["value"]), entry["lease"], log=False
+                    )
+                elif kind == "delete":
+                    self._delete(bytes.fromhex(entry["key"]), log=False)
+                elif kind == "compact":
+                    self.compact(entry["revision"], log=False)
+
+    # -- changes
+    def _event(self, event: kv_pb2.Event) -> None:
+        self.events.append(event)
+        if len(self.events) > HISTORY:
+            self.compact(self.events[len(self.events) - HISTORY].kv.mod_revision, log=False)
+        for queue in self.watchers:
+            queue.put_nowait(event)
+
+    def _put(self, key: bytes, value: bytes, lease: int, log: bool = True) -> kv_pb2.KeyValue | None:
+        if log:
+            self._log({"kind": "put", "key": key.hex(), "value": value.hex(), "lease": lease})
+        self.revision += 1
+        before = self.keys.get(key)
+        if before is not None and before.lease and before.lease != lease and before.lease in self.leases:
+            self.leases[before.lease].keys.discard(key)
+        kv = kv_pb2.KeyValue(
+            key=key,
+            value=value,
+            lease=lease,
+            mod_revision=self.revision,
+            create_revision=before.create_revision if before else self.revision,
+            version=before.version + 1 if before else 1,
+        )
+        self.keys[key] = kv
+        if lease:
+            self.leases[lease].keys.add(key)
+        self._event(kv_pb2.Event(type=kv_pb2.Event.PUT, kv=kv))
+        return before
+
+    def _delete(self, key: bytes, log: bool = True) -> kv_pb2.KeyValue | None:
+        before = self.keys.pop(key, None)
+        if before is None:
+            return None
+        if log:
+            self._log({"kind": "delete", "key": key.hex()})
+        self.revision += 1
+        if before.lease in self.leases:
+            self.leases[before.lease].keys.discard(key)
+        self._event(
+            kv_pb2.Event(type=kv_pb2.Event.DELETE, kv=kv_pb2.KeyValue(key=key, mod_revision=self.revision))
+        )
+        return before
+
+    def _drop_lease(self, lease: int, log: bool = True) -> None:
+        held = self.leases.pop(lease, None)
+        if held is None:
+            return
+        if log:
+            self._log({"kind": "revoke", "id": lease})
+        for key in sorted(held.keys):
+            self._delete(key, log=log)
+
+    def compact(self, revision: int, log: bool = True) -> None:
+        if revision <= self.compacted:
+            return
+        if log:
+            self._log({"kind": "compact", "revision": revision})
+        self.compacted = revision
+        self.events = [event for event in self.events if event.kv.mod_revision >= revision]
+
+    # -- KV
+    def chosen(self, key: bytes, end: bytes) -> list[kv_pb2.KeyValue]:
+        if not end:
+            return [self.keys[key]] if key in self.keys else []
+        every = end == b"\0"
+        return [self.keys[k] for k in sorted(self.keys) if k >= key and (every or k < end)]
+
+    def range(self, request: rpc_pb2.RangeRequest) -> rpc_pb2.RangeResponse:
+        kvs = self.chosen(request.key, request.range_end)
+        count = len(kvs)
+        if request.limit:
+            kvs = kvs[: request.limit]
+        return rpc_pb2.RangeResponse(header=self.header(), kvs=kvs, count=count, more=len(kvs) < count)
+
+    def put(self, request: rpc_pb2.PutRequest) -> rpc_pb2.PutResponse:
+        if request.lease and request.lease not in self.leases:
+            raise KeyError("etcdserver: requested lease not found")
+        before = self._put(request.key, request.value, request.lease)
+        answer = rpc_pb2.PutResponse(header=self.header())
+        if request.prev_kv and before is not None:
+            answer.prev_kv.CopyFrom(before)
+        return answer
+
+    def delete(self, request: rpc_pb2.DeleteRangeRequest) -> rpc_pb2.DeleteRangeResponse:
+        gone = [self._delete(kv.key) for kv in self.chosen(request.key, request.range_end)]
+        kept = [kv for kv in gone if kv is not None]
+        return rpc_pb2.DeleteRangeResponse(
+            header=self.header(), deleted=len(kept), prev_kvs=kept if request.prev_kv else []
+        )
+
+    def _holds(self, compare: rpc_pb2.Compare) -> bool:
+        kv = self.keys.get(compare.key)
+        target = compare.target
+        if target == rpc_pb2.Compare.VALUE:
+            if kv is None:
+                return False
+            mine: Any = kv.value
+            theirs: Any = compare.value
+        else:
+            name = {
+                rpc_pb2.Compare.VERSION: "version",
+                rpc_pb2.Compare.CREATE: "create_revision",
+                rpc_pb2.Compare.MOD: "mod_revision",
+                rpc_pb2.Compare.LEASE: "lease",
+            }[target]
+            mine = getattr(kv, name) if kv is not None else 0
+            theirs = getattr(compare, name)
+        result = compare.result
+        if result == rpc_pb2.Compare.EQUAL:
+            return bool(mine == theirs)
+        if result == rpc_pb2.Compare.NOT_EQUAL:
+            return bool(mine != theirs)
+        if result == rpc_pb2.Compare.GREATER:
+            return bool(mine > theirs)
+        return bool(mine < theirs)
+
+    def txn(self, request: rpc_pb2.TxnRequest) -> rpc_pb2.TxnResponse:
+        succeeded = all(self._holds(compare) for compare in request.compare)
+        answers = []
+        for op in request.success if succeeded else request.failure:
+            kind = op.WhichOneof("request")
+            if kind == "request_range":
+                answers.append(rpc_pb2.ResponseOp(response_range=self.range(op.request_range)))
+            elif kind == "request_put":
+                answers.append(rpc_pb2.ResponseOp(response_put=self.put(op.request_put)))
+            elif kind == "request_delete_range":
+                answers.append(rpc_pb2.ResponseOp(response_delete_range=self.delete(op.request_delete_range)))
+            else:
+                answers.append(rpc_pb2.ResponseOp(response_txn=self.txn(op.request_txn)))
+        return rpc_pb2.TxnResponse(header=self.header(), succeeded=succeeded, responses=answers)
+
+    # -- leases
+    def grant(self, request: rpc_pb2.LeaseGrantRequest) -> rpc_pb2.LeaseGrantResponse:
+        lease = request.ID or self.next_lease
+        self.next_lease = max(self.next_lease, lease) + 1
+        ttl = max(request.TTL, 1)
+        self._log({"kind": "grant", "id": lease, "ttl": ttl})
+        self.leases[lease] = Lease(ttl, time.monotonic() + ttl)
+        return rpc_pb2.LeaseGrantResponse(header=self.header(), ID=lease, TTL=ttl)
+
+    def keep(self, lease: int) -> rpc_pb2.LeaseKeepAliveResponse:
+        held = self.leases.get(lease)
+        if held is None:
+            return rpc_pb2.LeaseKeepAliveResponse(header=self.header(), ID=lease, TTL=0)
+        held.deadline = time.monotonic() + held.ttl
+        return rpc_pb2.LeaseKeepAliveResponse(header=self.header(), ID=lease, TTL=held.ttl)
+
+    def expire(self, now: float, gap: float) -> None:
+        """Drop leases past their deadline; after a freeze of `gap` s, first extend every lease by it."""
+        if gap > GAP:
+            for held in self.leases.values():
+                held.deadline += gap
+        for lease in [lease for lease, held in self.leases.items() if held.deadline <= now]:
+            self._drop_lease(lease)
+
+
+class KV(rpc_pb2_grpc.KVServicer):  # type: ignore[misc]
+    def __init__(self, store: Store) -> None:
+        self.store = store
+
+    async def Range(self, request: rpc_pb2.RangeRequest, context: grpc.aio.ServicerContext) -> Any:
+        return self.store.range(request)
+
+    async def Put(self, request: rpc_pb2.PutRequest, context: grpc.aio.ServicerContext) -> Any:
+        try:
+            return self.store.put(request)
+        except KeyError as error:
+            await context.abort(grpc.StatusCode.NOT_FOUND, str(error.args[0]))
+
+    async def DeleteRange(self, request: Any, context: grpc.aio.ServicerContext) -> Any:
+        return self.store.delete(request)
+
+    async def Txn(self, request: rpc_pb2.TxnRequest, context: grpc.aio.ServicerContext) -> Any:
+        try:
+            return self.store.txn(request)
+        except KeyError as error:
+            await context.abort(grpc.StatusCode.NOT_FOUND, str(error.args[0]))
+
+    async def Compact(self, request: Any, context: grpc.aio.ServicerContext) -> Any:
+        self.store.compact(request.revision)
+        return rpc_pb2.CompactionResponse(header=self.store.header())
+
+
+class Leases(rpc_pb2_grpc.LeaseServicer):  # type: ignore[misc]
+    def __init__(self, store: Store) -> None:
+        self.store = store
+
+    async def LeaseGrant(self, request: Any, context: grpc.aio.ServicerContext) -> Any:
+        return self.store.grant(request)
+
+    async def LeaseRevoke(self, request: Any, context: grpc.aio.ServicerContext) -> Any:
+        if request.ID not in self.store.leases:
+            await context.abort(grpc.StatusCode.NOT_FOUND, "etcdserver: requested lease not found")
+        self.store._drop_lease(request.ID)
+        return rpc_pb2.LeaseRevokeResponse(header=self.store.header())
+
+    async def LeaseKeepAlive(self, requests: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:
+        async for request in requests:
+            yield self.store.keep(request.ID)
+
+    async def LeaseTimeToLive(self, request: Any, context: grpc.aio.ServicerContext) -> Any:
+        held = self.store.leases.get(request.ID)
+        if held is None:
+            return rpc_pb2.LeaseTimeToLiveResponse(header=self.store.header(), ID=request.ID, TTL=-1)
+        left = int(max(held.deadline - time.monotonic(), 0.0))
+        keys = sorted(held.keys) if request.keys else []
+        return rpc_pb2.LeaseTimeToLiveResponse(
+            header=self.store.header(), ID=request.ID, TTL=left, grantedTTL=held.ttl, keys=keys
+        )
+
+
+class Watches(rpc_pb2_grpc.WatchServicer):  # type: ignore[misc]
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.ids = 0
+
+    async def Watch(self, requests: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:
+        store = self.store
+        queue: asyncio.Queue[kv_pb2.Event | None] = asyncio.Queue(maxsize=HISTORY)
+        watches: dict[int, tuple[bytes, bytes]] = {}
+        answers: asyncio.Queue[rpc_pb2.WatchResponse | None] = asyncio.Queue()
+
+        def fits(event: kv_pb2.Event, key: bytes, end: bytes) -> bool:
+            k = event.kv.key
+            return k == key if not end else (k >= key and (end == b"\0" or k < end))
+
+        async def read() -> None:
+            async for request in requests:
+                if request.HasField("create_request"):
+                    made = request.create_request
+                    self.ids += 1
+                    number = self.ids
+                    if made.start_revision and made.start_revision < store.compacted:
+                        await answers.put(
+                            rpc_pb2.WatchResponse(
+                                header=store.header(),
+                                watch_id=number,
+                                created=True,
+                                canceled=True,
+                                compact_revision=store.compacted,
+                                cancel_reason="etcdserver: mvcc: required revision has been compacted",
+                            )
+                        )
+                        continue
+                    watches[number] = (made.key, made.range_end)
+                    await answers.put(
+                        rpc_pb2.WatchResponse(header=store.header(), watch_id=number, created=True)
+                    )
+                    if made.start_revision:
+                        old = [
+                            e
+                            for e in store.events
+                            if e.kv.mod_revision >= made.start_revision and fits(e, made.key, made.range_end)
+                        ]
+                        if old:
+                            await answers.put(
+                                rpc_pb2.WatchResponse(header=store.header(), watch_id=number, events=old)
+                            )
+                elif request.HasField("cancel_request"):
+                    number = request.cancel_request.watch_id
+                    watches.pop(number, None)
+                    await answers.put(
+                        rpc_pb2.WatchResponse(header=store.header(), watch_id=number, canceled=True)
+                    )
+            await answers.put(None)
+
+        async def fan() -> None:
+            while (event := await queue.get()) is not None:
+                for number, (key, end) in list(watches.items()):
+                    if fits(event, key, end):
+                        await answers.put(
+                            rpc_pb2.WatchResponse(header=store.header(), watch_id=number, events=[event])
+                        )
+
+        store.watchers.add(queue)
+        tasks = [asyncio.ensure_future(read()), asyncio.ensure_future(fan())]
+        try:
+            while (answer := await answers.get()) is not None:
+                yield answer
+        finally:
+            store.watchers.discard(queue)
+            for task in tasks:
+                task.cancel()
+
+
+async def keep_time(store: Store) -> None:
+    """Expire leases; a late tick is a freeze, and leases are extended by it."""
+    last = time.monotonic()
+    while True:
+        await asyncio.sleep(TICK)
+        now = time.monotonic()
+        store.expire(now, now - last - TICK)
+        last = now
+
+
+async def serve(port: int, wal: str | None) -> None:
+    store = Store(wal)
+    server = grpc.aio.server()
+    rpc_pb2_grpc.add_KVServicer_to_server(KV(store), server)
+    rpc_pb2_grpc.add_LeaseServicer_to_server(Leases(store), server)
+    rpc_pb2_grpc.add_WatchServicer_to_server(Watches(store), server)
+    bound = server.add_insecure_port(f"127.0.0.1:{port}")
+    await server.start()
+    print(f"listening {bound}", flush=True)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    timer = asyncio.ensure_future(keep_time(store))
+    await stop.wait()
+    timer.cancel()
+    await server.stop(0.2)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="A stand-in for etcd's v3 API on loopback")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--wal", default=None)
+    words = parser.parse_args()
+    asyncio.run(serve(words.port, words.wal))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/standins/faults.py
@@ -0,0 +1,161 @@
+"""A fault proxy on loopback, and a target that fences what owners send it: the tools of the multi-process
+tests.
+
+`Proxy` forwards TCP between a front and what it talks to, and can be told to hold bytes (delay without bound,
+then let them go in order), to drop one direction, or to cut every connection and refuse new ones. `Target`
+takes effects (`EFFECT task token name number`), judges each by a `Fence`, and records every one with its
+verdict: the history a test checks whole at the end.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import SocketStream, TaskGroup
+
+from cometseam.ownership import Fence
+
+
+class Proxy:
+    """Forward `127.0.0.1:port` to `upstream`; faults by the flags below, changed at any time by the test."""
+
+    def __init__(self, upstream: int) -> None:
+        self.upstream = upstream
+        self.port = 0
+        self.hold = False  # bytes from either side wait here until it is False again
+        self.drop_up = False  # bytes towards upstream are thrown away
+        self.drop_down = False  # bytes towards the front are thrown away
+        self.cut = False  # every connection is closed, and new ones are closed at once
+        self.held = 0  # bytes waiting now
+        self.released = anyio.Event()
+        self._streams: set[SocketStream] = set()
+
+    async def start(self, group: TaskGroup) -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        group.start_soon(listener.serve, self._serve)
+
+    def set_hold(self, hold: bool) -> None:
+        self.hold = hold
+        if not hold:
+            self.released.set()
+            self.released = anyio.Event()
+
+    async def set_cut(self) -> None:
+        self.cut = True
+        for stream in list(self._streams):
+            await stream.aclose()
+
+    async def _pipe(self, source: SocketStream, sink: SocketStream, dropped: Callable[[], bool]) -> None:
+        try:
+            async for chunk in source:
+                while self.hold:
+                    self.held += len(chunk)
+                    await self.released.wait()
+                    self.held -= len(chunk)
+                if self.cut:
+                    break
+                if not dropped():
+                    await sink.send(chunk)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            pass
+        finally:
+            await sink.aclose()
+
+    async def _serve(self, front: SocketStream) -> None:
+        if self.cut:
+            await front.aclose()
+            return
+        try:
+            far = await anyio.connect_tcp("127.0.0.1", self.upstream)
+        except OSError:
+            await front.aclose()
+            return
+        self._streams.update((front, far))
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._pipe, front, far, lambda: self.drop_up)
+                group.start_soon(self._pipe, far, front, lambda: self.drop_down)
+        finally:
+            self._streams.difference_update((front, far))
+
+
+@dataclass(frozen=True)
+class Effect:
+    """One effect as the target saw it: when (monotonic ms), what, and whether the fence let it through."""
+
+    at: float
+    task: str
+    token: int
+    name: str
+    number: int
+    passed: bool
+
+
+@dataclass
+class Target:
+    """Takes effects on loopback and fences them; `history` is every effect, in the order they came."""
+
+    fence: Fence
+    port: int = 0
+    history: list[Effect] = field(default_factory=list)
+    seen: anyio.Event = field(default_factory=anyio.Event)
+
+    async def start(self, group: TaskGroup) -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        group.start_soon(listener.serve, self._serve)
+
+    async def _serve(self, stream: SocketStream) -> None:
+        buffer = b""
+        try:
+            async for chunk in stream:
+                buffer += chunk
+                while b"\n" in buffer:
+                    line, buffer = buffer.split(b"\n", 1)
+                    words = line.decode().split()
+                    if len(words) != 5 or words[0] != "EFFECT":
+                        await stream.send(b"BAD\n")
+                        continue
+                    task, token, name, number = words[1], int(words[2]), words[3], int(words[4])
+                    verdict = self.fence.admit(task, token)
+                    self.history.append(
+                        Effect(time.monotonic() * 1000.0, task, token, name, number, verdict.passed)
+                    )
+                    self.seen.set()
+                    self.seen = anyio.Event()
+                    word = b"OK" if verdict.passed else b"STALE"
+                    await stream.send(word + b" %d\n" % verdict.highest)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            pass
+
+    async def wait_for(self, test: Callable[[list[Effect]], bool], within: float) -> None:
+        """Wait until the history passes `test`, at most `within` s (then fail)."""
+        with anyio.fail_after(within):
+            while not test(self.history):
+                await self.seen.wait()
+
+
+def anomalies(history: list[Effect]) -> list[str]:
+    """Read a whole history: every effect let through after one of a higher token of the same task is an
+    anomaly.
+
+    It is what one owner at a time means at the target: once a newer owner's effect has landed, no older
+    owner's may. Two owners' effects interleaving (split brain) show here too, as a lower token passing after
+    a higher one.
+    """
+    found = []
+    highest: dict[str, Effect] = {}
+    for effect in history:
+        if not effect.passed:
+            continue
+        top = highest.get(effect.task)
+        if top is not None and effect.token < top.token:
+            found.append(
+                f"{effect.task}: {effect.name} token {effect.token} #{effect.number} landed after "
+                f"{top.name} token {top.token}"
+            )
+        if top is None or effect.token >= top.token:
+            highest[effect.task] = effect
+    return found
