--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -110,11 +110,11 @@
 
 
 def test_what_run_starts_imports_nothing_of_coordination() -> None:
-    """Off in `run`: the program that the deploy file starts loads neither the coordination client nor gRPC."""
+    """Off in `run`: what the deploy file starts loads neither the coordination client nor gRPC."""
     import subprocess
     import sys
 
-    probe = "import sys, cometseam.__main__, cometseam.serving; print(sorted(m for m in sys.modules if m in WATCH))"
+    probe = "import sys, cometseam.__main__, cometseam.serving\nprint(sorted(m for m in sys.modules if m in WATCH))"
     code = f"WATCH = {{'aetcd', 'grpc', 'cometseam.coordination', 'cometseam.ownership'}}\n{probe}"
     shown = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, check=True)
     assert shown.stdout.strip() == "[]"
