--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -114,7 +114,7 @@
     import subprocess
     import sys
 
-    probe = "import sys, cometseam.__main__, cometseam.serving\nprint(sorted(m for m in sys.modules if m in WATCH))"
+    probe = "import sys, cometseam.__main__, cometseam.serving\nprint(sorted(set(sys.modules) & WATCH))"
     code = f"WATCH = {{'aetcd', 'grpc', 'cometseam.coordination', 'cometseam.ownership'}}\n{probe}"
     shown = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, check=True)
     assert shown.stdout.strip() == "[]"
