--- a/cometseam/coordination/agent.py
+++ b/cometseam/coordination/agent.py
@@ -13,11 +13,10 @@
 import sys
 import time
 
-import aetcd
 import anyio
 from anyio.abc import ByteStream
 
-from cometseam.coordination.elect import Holder, Place
+from cometseam.coordination.elect import Holder, Place, connect
 from cometseam.ownership import Refused, Terms
 
 
@@ -52,7 +51,7 @@
 async def main_async(words: argparse.Namespace) -> None:
     terms = Terms(words.ttl_ms, words.margin_ms, words.drift, words.renew_ms, words.round_trip_ms)
     place = Place.parse(words.etcd)
-    client = aetcd.Client(host=place.host, port=place.port)
+    client = connect(place, terms)
     holder = Holder(client, words.task, words.name, terms, clock)
     async with client, anyio.create_task_group() as group:
         group.start_soon(holder.run)
--- a/cometseam/coordination/elect.py
+++ b/cometseam/coordination/elect.py
@@ -7,8 +7,9 @@
 (`create_revision == 0`), put it with this front's lease, else read who holds it. The fencing token is the
 revision at which the key was created; a later owner's key is created later, so its token is higher.
 
-What cancels a call: leaving the task group of `hold`; a request that takes longer than the terms' round trip
-is abandoned and counts as not answered (it guards against a link that hangs rather than fails).
+What cancels a call: leaving the task group of `run`; a request that takes longer than twice the terms' round
+trip passes its gRPC deadline and counts as not answered (it guards against a link that hangs rather than
+fails).
 """
 
 from collections.abc import Awaitable, Callable
@@ -44,6 +45,11 @@
     return f"/cometseam/owners/{task}".encode()
 
 
+def connect(place: Place, terms: Terms) -> aetcd.Client:
+    """A client whose every call has a deadline of twice the terms' round trip (whole ms, as seconds)."""
+    return aetcd.Client(host=place.host, port=place.port, timeout=2 * terms.round_trip_ms / 1000.0)
+
+
 class Holder:
     """One front's hold on one task: `run` campaigns and renews for as long as it is not cancelled."""
 
@@ -56,14 +62,17 @@
         self.asked = 0  # requests sent to the service, for the measure of its load
 
     async def _ask(self, call: Awaitable[Any]) -> Any:
-        """One request, abandoned after twice the expected round trip; `UNANSWERED` where not answered."""
+        """One request; `UNANSWERED` where it failed or passed the client's deadline.
+
+        The deadline is the gRPC call's own (the client's `timeout`, see `connect`), never a cancel scope of
+        ours around the call: cancelling a grpc.aio call from outside was seen to end the whole task group
+        that held it (the agent returned at the first freeze of the service).
+        """
         self.asked += 1
-        with anyio.move_on_after(2 * self.owner.terms.round_trip_ms / 1000.0):
-            try:
-                return await call
-            except Exception:  # the link failed or the service refused: not answered
-                return UNANSWERED
-        return UNANSWERED
+        try:
+            return await call
+        except Exception:  # the link failed, the deadline passed or the service refused: not answered
+            return UNANSWERED
 
     async def campaign(self) -> None:
         """Ask for a lease and try to create the task's key with it; tell the machine what came of it."""
@@ -106,7 +115,7 @@
             self.owner.saw(held.create_revision if held is not None else 0, self.clock())
         self.owner.tick(self.clock())
         if self.owner.state is State.LOST:
-            self.lease = None
+            self.lease = None  # renewed no more: given up, or gone at the service
 
     async def run(self) -> None:
         """Campaign and renew every `renew_ms`, until cancelled; on the way out, give the lease back."""
--- a/cometseam/ownership/machine.py
+++ b/cometseam/ownership/machine.py
@@ -139,9 +139,19 @@
             self._go(State.LOST, now, "key gone" if holder_token == 0 else "held by another")
 
     def tick(self, now: float) -> None:
-        """Time passed: an owner whose lease may have ended by its own clock stops acting."""
+        """Time passed: an owner whose lease may have ended by its own clock stops acting; one that has heard
+        nothing for a whole lease more gives the task up.
+
+        The second guards against a link that carries requests but loses their answers: the keep-alives still
+        reach the service and keep the lease, so that no other front can take the task, while this one never
+        hears that it may act. Given up, it stops renewing, and the lease ends one TTL after the last
+        keep-alive arrived. A task is so without an owner for at most `acting_ms + 2 * ttl_ms` after the last
+        answer heard.
+        """
         if self.state is State.OWNER and not self._live(now):
             self._go(State.LOSING, now, "renewal overdue")
+        if self.state is State.LOSING and now >= self.sent_at + self.terms.acting_ms + self.terms.ttl_ms:
+            self._go(State.LOST, now, "unheard for a lease")
 
     def campaign(self, now: float) -> bool:
         """Whether to campaign now: only a candidate, or one that has lost, does; it is then a candidate."""
--- a/tests/standins/faults.py
+++ b/tests/standins/faults.py
@@ -28,6 +28,7 @@
         self.drop_down = False  # bytes towards the front are thrown away
         self.cut = False  # every connection is closed, and new ones are closed at once
         self.held = 0  # bytes waiting now
+        self.held_up = 0  # of them, bytes towards upstream
         self.released = anyio.Event()
         self._streams: set[SocketStream] = set()
 
@@ -47,13 +48,17 @@
         for stream in list(self._streams):
             await stream.aclose()
 
-    async def _pipe(self, source: SocketStream, sink: SocketStream, dropped: Callable[[], bool]) -> None:
+    async def _pipe(
+        self, source: SocketStream, sink: SocketStream, dropped: Callable[[], bool], up: bool
+    ) -> None:
         try:
             async for chunk in source:
                 while self.hold:
                     self.held += len(chunk)
+                    self.held_up += len(chunk) if up else 0
                     await self.released.wait()
                     self.held -= len(chunk)
+                    self.held_up -= len(chunk) if up else 0
                 if self.cut:
                     break
                 if not dropped():
@@ -75,8 +80,8 @@
         self._streams.update((front, far))
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._pipe, front, far, lambda: self.drop_up)
-                group.start_soon(self._pipe, far, front, lambda: self.drop_down)
+                group.start_soon(self._pipe, front, far, lambda: self.drop_up, True)
+                group.start_soon(self._pipe, far, front, lambda: self.drop_down, False)
         finally:
             self._streams.difference_update((front, far))
 
@@ -159,3 +164,23 @@
         if top is None or effect.token >= top.token:
             highest[effect.task] = effect
     return found
+
+
+def overlaps(history: list[Effect]) -> list[str]:
+    """Effects sent by an older owner that arrived after a newer owner's first, let through or not.
+
+    Where nothing holds effects on the way, each is one that its owner sent while another already acted: two
+    fronts acting at once, which the owners' own clocks must prevent (the fence would still refuse them).
+    """
+    found = []
+    first: dict[str, Effect] = {}
+    for effect in history:
+        top = first.get(effect.task)
+        if top is not None and effect.token < top.token:
+            found.append(
+                f"{effect.task}: {effect.name} token {effect.token} #{effect.number} sent while "
+                f"{top.name} token {top.token} acted"
+            )
+        if effect.passed and (top is None or effect.token > top.token):
+            first[effect.task] = effect
+    return found
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -118,3 +118,16 @@
     code = f"WATCH = {{'aetcd', 'grpc', 'cometseam.coordination', 'cometseam.ownership'}}\n{probe}"
     shown = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, check=True)
     assert shown.stdout.strip() == "[]"
+
+
+def test_an_owner_unheard_for_a_whole_lease_more_gives_the_task_up() -> None:
+    """Its keep-alives may still reach the service and hold the key for nobody: it must stop renewing."""
+    owner = Owner("probe", TERMS)
+    owner.campaign(0.0)
+    owner.won(4, 0.0, 10.0)
+    owner.tick(1000.0)
+    assert state(owner) is State.LOSING
+    owner.tick(1739.0)
+    assert state(owner) is State.LOSING
+    owner.tick(1740.0)  # 990 - 250 + 1000
+    assert state(owner) is State.LOST
