--- a/cometseam/coordination/agent.py
+++ b/cometseam/coordination/agent.py
@@ -52,7 +52,7 @@
     terms = Terms(words.ttl_ms, words.margin_ms, words.drift, words.renew_ms, words.round_trip_ms)
     place = Place.parse(words.etcd)
     client = connect(place, terms)
-    holder = Holder(client, words.task, words.name, terms, clock)
+    holder = Holder(client, words.task, words.name, terms, clock, look_first=not words.no_look)
     async with client, anyio.create_task_group() as group:
         group.start_soon(holder.run)
         group.start_soon(act, holder, Place.parse(words.target), words.every_ms, True)
@@ -77,6 +77,7 @@
     parser.add_argument("--renew-ms", type=float, default=200.0)
     parser.add_argument("--round-trip-ms", type=float, default=100.0)
     parser.add_argument("--every-ms", type=float, default=20.0)
+    parser.add_argument("--no-look", action="store_true", help="campaign without reading the key first")
     words = parser.parse_args()
     try:
         Terms(words.ttl_ms, words.margin_ms, words.drift, words.renew_ms, words.round_trip_ms).check()
--- a/cometseam/coordination/elect.py
+++ b/cometseam/coordination/elect.py
@@ -53,8 +53,11 @@
 class Holder:
     """One front's hold on one task: `run` campaigns and renews for as long as it is not cancelled."""
 
-    def __init__(self, client: aetcd.Client, task: str, name: str, terms: Terms, clock: Clock) -> None:
+    def __init__(
+        self, client: aetcd.Client, task: str, name: str, terms: Terms, clock: Clock, look_first: bool = True
+    ) -> None:
         self.client = client
+        self.look_first = look_first  # read the key before asking for a lease: 1 call, not 3, while held
         self.owner = Owner(task, terms)
         self.name = name
         self.clock = clock
@@ -79,6 +82,12 @@
         now = self.clock()
         if not self.owner.campaign(now):
             return
+        if self.look_first:
+            # While another holds the task, a candidate's campaign would be a grant, a failed transaction
+            # and a revoke: three calls each `renew_ms` from every candidate. One read tells the same.
+            held = await self._ask(self.client.get(key_of(self.owner.task)))
+            if held is UNANSWERED or held is not None:
+                return
         sent = self.clock()
         lease = await self._ask(self.client.lease(max(int(self.owner.terms.ttl_ms // 1000), 1)))
         if lease is UNANSWERED:
--- a/tests/standins/etcd.py
+++ b/tests/standins/etcd.py
@@ -9,7 +9,8 @@
 `--wal FILE` writes every change before answering and fsyncs it, and a restart replays it (leases get their
 full TTL back, as etcd does on recovery).
 
-    python -m tests.standins.etcd --port 0 --wal FILE     # prints "listening PORT" and serves until SIGTERM
+    python -m tests.standins.etcd --port 0 --wal FILE     # prints "listening PORT", serves until SIGTERM,
+                                                          # then prints "calls {method: count}"
 """
 
 import argparse
@@ -382,9 +383,22 @@
         last = now
 
 
+class Count(grpc.aio.ServerInterceptor):  # type: ignore[misc]
+    """Counts the calls that reach the member, by method: the load that fronts put on the service."""
+
+    def __init__(self) -> None:
+        self.calls: dict[str, int] = {}
+
+    async def intercept_service(self, continuation: Any, details: Any) -> Any:
+        name = details.method.rsplit("/", 1)[-1]
+        self.calls[name] = self.calls.get(name, 0) + 1
+        return await continuation(details)
+
+
 async def serve(port: int, wal: str | None) -> None:
     store = Store(wal)
-    server = grpc.aio.server()
+    count = Count()
+    server = grpc.aio.server(interceptors=[count])
     rpc_pb2_grpc.add_KVServicer_to_server(KV(store), server)
     rpc_pb2_grpc.add_LeaseServicer_to_server(Leases(store), server)
     rpc_pb2_grpc.add_WatchServicer_to_server(Watches(store), server)
@@ -395,6 +409,7 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
     timer = asyncio.ensure_future(keep_time(store))
     await stop.wait()
+    print("calls " + json.dumps(count.calls, sort_keys=True), flush=True)
     timer.cancel()
     await server.stop(0.2)
 
--- /dev/null
+++ b/tests/standins/fleet.py
@@ -0,0 +1,173 @@
+"""Several processes on loopback for the ownership tests and measurements: the etcd stand-in, fronts holding
+one task (`cometseam.coordination.agent`), a fenced target, and our proxy on each front's two links.
+"""
+
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import Process
+
+from cometseam.ownership import Fence
+from tests.standins.faults import Effect, Proxy, Target, anomalies
+
+TTL_MS = 1000.0
+
+
+@dataclass
+class Fleet:
+    target: Target
+    fronts: dict[str, Process]
+    links: dict[str, Proxy]  # each front's link to the target
+    services: dict[str, Proxy]  # each front's link to the coordination service
+    etcd: Process
+    wal: str
+    said: dict[str, list[str]]  # what each front printed
+
+    async def restart_service(self) -> None:
+        """Kill the stand-in (SIGKILL), start it again from its log on a new port behind the same proxies."""
+        self.etcd.kill()
+        await self.etcd.wait()
+        self.etcd, port = await start_etcd(self.wal)
+        for proxy in self.services.values():
+            proxy.upstream = port
+
+
+async def start_etcd(wal: str) -> tuple[Process, int]:
+    command = [sys.executable, "-m", "tests.standins.etcd", "--port", "0", "--wal", wal]
+    etcd = await anyio.open_process(command, env={**os.environ, "PYTHONUNBUFFERED": "1"})
+    with anyio.fail_after(20):
+        port = int((await first_line(etcd, b"listening")).split()[1])
+    return etcd, port
+
+
+async def first_line(process: Process, prefix: bytes) -> bytes:
+    assert process.stdout is not None
+    buffer = b""
+    async for chunk in process.stdout:
+        buffer += chunk
+        if b"\n" in buffer:
+            line = buffer.split(b"\n", 1)[0]
+            assert line.startswith(prefix), line
+            return line
+    raise AssertionError(f"no line {prefix!r}")
+
+
+async def drain(process: Process, into: list[str] | None = None) -> None:
+    """Read what a process prints, keeping it where asked (the states a front went through, for a failure's
+    message)."""
+    assert process.stdout is not None
+    async for chunk in process.stdout:
+        if into is not None:
+            into.extend(chunk.decode().splitlines())
+
+
+@asynccontextmanager
+async def fleet(fronts: int, enforce: bool = True, extra: tuple[str, ...] = ()) -> AsyncIterator[Fleet]:
+    env = {**os.environ, "PYTHONUNBUFFERED": "1"}
+    processes: dict[str, Process] = {}
+    with tempfile.TemporaryDirectory() as folder:
+        wal = os.path.join(folder, "etcd.wal")
+        etcd, port = await start_etcd(wal)
+        here = Fleet(Target(Fence(enforce)), processes, {}, {}, etcd, wal, {})
+        try:
+            async with anyio.create_task_group() as group:
+                await here.target.start(group)
+                for number in range(fronts):
+                    name = f"f{number}"
+                    link, service = Proxy(here.target.port), Proxy(port)
+                    await link.start(group)
+                    await service.start(group)
+                    here.links[name], here.services[name] = link, service
+                    processes[name] = await anyio.open_process(
+                        [
+                            sys.executable,
+                            "-m",
+                            "cometseam.coordination.agent",
+                            "--etcd",
+                            f"127.0.0.1:{service.port}",
+                            "--target",
+                            f"127.0.0.1:{link.port}",
+                            "--task",
+                            "probe",
+                            "--name",
+                            name,
+                            "--ttl-ms",
+                            str(TTL_MS),
+                            "--margin-ms",
+                            "250",
+                            "--renew-ms",
+                            "200",
+                            "--round-trip-ms",
+                            "100",
+                            *extra,
+                        ],
+                        env=env,
+                    )
+                    with anyio.fail_after(20):
+                        await first_line(processes[name], b"ready")
+                    here.said[name] = []
+                    group.start_soon(drain, processes[name], here.said[name])
+                yield here
+                group.cancel_scope.cancel()
+        finally:
+            for process in [*processes.values(), here.etcd]:
+                if process.returncode is None:
+                    os.kill(process.pid, signal.SIGCONT)
+                    process.kill()
+                    await process.wait()
+
+
+def owner_now(history: list[Effect]) -> Effect | None:
+    passed = [effect for effect in history if effect.passed]
+    return passed[-1] if passed else None
+
+
+async def first_owner(here: Fleet) -> Effect:
+    await here.target.wait_for(lambda history: owner_now(history) is not None, 20)
+    first = owner_now(here.target.history)
+    assert first is not None
+    return first
+
+
+def newer(token: int) -> Callable[[list[Effect]], bool]:
+    return lambda history: any(e.passed and e.token > token for e in history)
+
+
+@dataclass(frozen=True)
+class Late:
+    """What came of a late owner: the history's anomalies, its effects that came late, and of them refused."""
+
+    anomalies: list[str]
+    arrived: int
+    refused: int
+
+
+async def late_owner(enforce: bool) -> Late:
+    """Pause the owner with its effect in flight past its lease; resume it after a newer owner acted."""
+    async with fleet(3, enforce) as here:
+        await here.target.wait_for(lambda history: owner_now(history) is not None, 20)
+        first = owner_now(here.target.history)
+        assert first is not None
+        link = here.links[first.name]
+        link.set_hold(True)
+        with anyio.fail_after(5):
+            while link.held_up == 0:  # an effect of the owner is on its way (not an answer to one)
+                await anyio.sleep(0.005)
+        os.kill(here.fronts[first.name].pid, signal.SIGSTOP)
+        await here.target.wait_for(
+            lambda history: any(e.passed and e.token > first.token for e in history), 10 * TTL_MS / 1000
+        )
+        os.kill(here.fronts[first.name].pid, signal.SIGCONT)
+        count = len(here.target.history)
+        link.set_hold(False)
+        await here.target.wait_for(
+            lambda history: any(e.name == first.name and e.token == first.token for e in history[count:]), 5
+        )
+        tail = [e for e in here.target.history[count:] if e.name == first.name and e.token == first.token]
+        return Late(anomalies(here.target.history), len(tail), sum(not e.passed for e in tail))
