--- a/cometseam/ownership/explore.py
+++ b/cometseam/ownership/explore.py
@@ -163,6 +163,21 @@
     return len(acting) > 1
 
 
+@dataclass
+class _Broken:
+    """The first path found to break each property; None while none has."""
+
+    terms: Terms
+    fenced: list[str] | None = None
+    alone: list[str] | None = None
+
+    def look(self, world: World, path: list[str] | tuple[str, ...]) -> None:
+        if self.fenced is None and broken_fence(world):
+            self.fenced = list(path)
+        if self.alone is None and two_acting(world, self.terms):
+            self.alone = list(path)
+
+
 def explore(
     terms: Terms,
     fronts: int,
@@ -176,21 +191,17 @@
     first = start(fronts, rates)
     seen = {first}
     queue: deque[tuple[World, tuple[str, ...]]] = deque([(first, ())])
-    fenced: list[str] | None = None
-    alone: list[str] | None = None
+    broken = _Broken(terms)
     while queue:
         world, path = queue.popleft()
-        if fenced is None and broken_fence(world):
-            fenced = list(path)
-        if alone is None and two_acting(world, terms):
-            alone = list(path)
+        broken.look(world, path)
         if len(path) >= depth:
             continue
         for name, after in steps(world, terms, limit, enforce):
             if after not in seen:
                 seen.add(after)
                 queue.append((after, (*path, name)))
-    return Found(len(seen), fenced, alone)
+    return Found(len(seen), broken.fenced, broken.alone)
 
 
 def wander(
@@ -205,19 +216,17 @@
     """Seeded random walks of `length` steps each; the same seed walks the same paths."""
     chance = Random(seed)
     count = 0
-    fenced: list[str] | None = None
-    alone: list[str] | None = None
+    broken = _Broken(terms)
     for _ in range(walks):
-        if fenced is not None and alone is not None:
+        if broken.fenced is not None and broken.alone is not None:
             break  # both broken: nothing more to learn
         world, path = start(fronts, rates), []
         for _ in range(length):
             options = list(steps(world, terms, 10**9, enforce))
             if not options:
                 break
-            # a kind of step first (time, one front's act, one front's effect arriving), then one of that
-            # kind:
-            # else the many ways to deliver would crowd out time passing, and late effects would never be late
+            # A kind of step first (time, one front's act, one front's effect arriving), then one of that
+            # kind: else the many ways to deliver would crowd out time passing, and nothing would be late.
             kinds = sorted({name.split()[0] for name, _ in options})
             kind = chance.choice(kinds)
             name, world = chance.choice([option for option in options if option[0].split()[0] == kind])
@@ -225,8 +234,5 @@
             world = replace(world, landed=world.landed[-2:])
             path.append(name)
             count += 1
-            if fenced is None and broken_fence(world):
-                fenced = list(path)
-            if alone is None and two_acting(world, terms):
-                alone = list(path)
-    return Found(count, fenced, alone)
+            broken.look(world, path)
+    return Found(count, broken.fenced, broken.alone)
