--- a/cometseam/coordination/agent.py
+++ b/cometseam/coordination/agent.py
@@ -1,86 +1,149 @@
 """A front's hold on fleet work, as a process of its own for the tests and for installations that allow it.
 
-It holds one task on the coordination service (`Holder`) and, while `Owner.may_act` says yes, sends an effect
-every `--every-ms` to a target over TCP: one line `EFFECT task token name number`, answered `OK highest` or
-`STALE highest`. The answer is what the target's fence said; a refusal is logged and ends nothing (the target,
-not the owner, judges). On the fleet's bench no front talks to another, so `run` never starts this.
+It holds one task on the coordination service (`Holder`), or with `--tasks` takes part in several (`Crew`),
+and, while the owner's clock says that it may act, sends an effect every `--every-ms` to a target over TCP:
+`EFFECT task token name number`, answered `OK highest` or `STALE highest`. The answer is what the target's
+fence said; a refusal is logged and ends nothing (the target, not the owner, judges). `--members N` has the
+process stand for N fronts with a connection each. On the fleet's bench no front talks to another, so `run`
+never starts this.
 
     python -m cometseam.coordination.agent --etcd 127.0.0.1:2379 --target 127.0.0.1:7000 --task probe \
         --name f1
+
+For faults: SIGUSR1 moves the process's clock of leases forward by `--jump-ms`, SIGUSR2 back by as much.
 """
 
 import argparse
+import signal
 import sys
-import time
+from collections.abc import Callable
 
 import anyio
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, TaskGroup
 
-from cometseam.coordination.elect import Holder, Place, connect
+from cometseam.coordination.crew import Crew
+from cometseam.coordination.elect import Holder, Place, boot_time, connect
 from cometseam.ownership import Refused, Terms
 
 
-def clock() -> float:
-    """The one clock: monotonic, ms."""
-    return time.monotonic() * 1000.0
+class Clock:
+    """The clock of leases, which a test may have jump."""
+
+    def __init__(self) -> None:
+        self.ahead = 0.0  # ms
+
+    def now(self) -> float:
+        """Tell the time in ms."""
+        return boot_time() + self.ahead
+
+    async def jump(self, by: float) -> None:
+        """Jump when a signal says so: SIGUSR1 forward, SIGUSR2 back."""
+        with anyio.open_signal_receiver(signal.SIGUSR1, signal.SIGUSR2) as signals:
+            async for number in signals:
+                self.ahead += by if number == signal.SIGUSR1 else -by
+
 
+class Acting:
+    """Sends the effects of one front's tasks to the target; reconnects when the link fails."""
 
-async def act(holder: Holder, target: Place, every_ms: float, log: bool) -> None:
-    """Send effects while this front may act; reconnect to the target when its link fails."""
-    number = 0
-    stream: ByteStream | None = None
-    while True:
-        await anyio.sleep(every_ms / 1000.0)
+    def __init__(self, name: str, target: Place, every_ms: float, clock: Callable[[], float]) -> None:
+        self.name, self.target, self.every_ms, self.clock = name, target, every_ms, clock
+        self._stream: ByteStream | None = None
+        self._number = 0
+
+    async def run(self, holders: Callable[[], list[Holder]]) -> None:
+        """Send one effect for each task that may be acted for, every `every_ms`."""
+        while True:
+            await anyio.sleep(self.every_ms / 1000.0)
+            for holder in holders():
+                if holder.owner.may_act(self.clock()):
+                    await self._send(holder)
+
+    async def _send(self, holder: Holder) -> None:
         owner = holder.owner
-        if not owner.may_act(clock()):
-            continue
-        number += 1
-        line = f"EFFECT {owner.task} {owner.token} {holder.name} {number}\n".encode()
+        self._number += 1
+        line = f"EFFECT {owner.task} {owner.token} {self.name} {self._number}\n".encode()
         try:
-            if stream is None:
-                stream = await anyio.connect_tcp(target.host, target.port)
-            await stream.send(line)
-            answer = await stream.receive(256)
+            if self._stream is None:
+                self._stream = await anyio.connect_tcp(self.target.host, self.target.port)
+            await self._stream.send(line)
+            answer = await self._stream.receive(256)
         except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
-            stream = None  # the target's link failed: the effect may or may not have landed; the fence judges
-            continue
-        if log and not answer.startswith(b"OK"):
+            self._stream = None  # the effect may or may not have landed; the fence judges
+            return
+        if not answer.startswith(b"OK"):
             print(f"refused {owner.task} token={owner.token} {answer.decode().strip()}", flush=True)
 
 
-async def main_async(words: argparse.Namespace) -> None:
-    terms = Terms(words.ttl_ms, words.margin_ms, words.drift, words.renew_ms, words.round_trip_ms)
-    place = Place.parse(words.etcd)
-    client = connect(place, terms)
-    holder = Holder(client, words.task, words.name, terms, clock, look_first=not words.no_look)
-    async with client, anyio.create_task_group() as group:
+def _say(holder: Holder) -> None:
+    for change in holder.owner.drain():
+        task = holder.owner.task
+        print(f"state {change.after.value} task={task} token={change.token} why={change.why}", flush=True)
+
+
+def _terms(words: argparse.Namespace) -> Terms:
+    return Terms(words.ttl_ms, words.margin_ms, words.drift, words.renew_ms, words.round_trip_ms)
+
+
+async def _alone(words: argparse.Namespace, clock: Clock, group: TaskGroup) -> None:
+    terms = _terms(words)
+    async with connect(Place.parse(words.etcd), terms) as client:
+        holder = Holder(client, words.task, words.name, terms, clock.now, look_first=not words.no_look)
         group.start_soon(holder.run)
-        group.start_soon(act, holder, Place.parse(words.target), words.every_ms, True)
+        acting = Acting(words.name, Place.parse(words.target), words.every_ms, clock.now)
+        group.start_soon(acting.run, lambda: [holder])
         print(f"ready {words.name}", flush=True)
         while True:
             await anyio.sleep(0.05)
-            for change in holder.owner.drain():
-                print(f"state {change.after.value} token={change.token} why={change.why}", flush=True)
+            _say(holder)
+
+
+async def _member(words: argparse.Namespace, name: str, clock: Clock) -> None:
+    terms = _terms(words)
+    async with connect(Place.parse(words.etcd), terms) as client, anyio.create_task_group() as group:
+        tasks = {task: terms for task in words.tasks.split(",")}
+        spread = 0.0 if words.eager else 0.5
+        crew = Crew(client, name, tasks, words.refresh_ms, clock.now, _say, spread)
+        group.start_soon(crew.run)
+        acting = Acting(name, Place.parse(words.target), words.every_ms, clock.now)
+        group.start_soon(acting.run, crew.held)
+
+
+async def main_async(words: argparse.Namespace) -> None:
+    clock = Clock()
+    async with anyio.create_task_group() as group:
+        group.start_soon(clock.jump, words.jump_ms)
+        if not words.tasks:
+            await _alone(words, clock, group)
+        for number in range(words.members):
+            name = words.name if words.members == 1 else f"{words.name}.{number}"
+            group.start_soon(_member, words, name, clock)
+        print(f"ready {words.name}", flush=True)
 
 
 def main() -> int:
     parser = argparse.ArgumentParser(
-        description="Hold one fleet task on etcd's v3 API and act while it is held"
+        description="Hold fleet tasks on etcd's v3 API and act while they are held"
     )
     parser.add_argument("--etcd", required=True)
     parser.add_argument("--target", required=True)
-    parser.add_argument("--task", required=True)
+    parser.add_argument("--task", default="probe")
+    parser.add_argument("--tasks", default="", help="take part in these, by a comma between, instead of one")
+    parser.add_argument("--members", type=int, default=1, help="fronts that this process stands for")
     parser.add_argument("--name", required=True)
     parser.add_argument("--ttl-ms", type=float, default=1000.0)
     parser.add_argument("--margin-ms", type=float, default=250.0)
     parser.add_argument("--drift", type=float, default=0.01)
     parser.add_argument("--renew-ms", type=float, default=200.0)
     parser.add_argument("--round-trip-ms", type=float, default=100.0)
+    parser.add_argument("--refresh-ms", type=float, default=500.0, help="between reads beside a watch")
     parser.add_argument("--every-ms", type=float, default=20.0)
+    parser.add_argument("--jump-ms", type=float, default=0.0, help="what SIGUSR1, SIGUSR2 move the clock by")
     parser.add_argument("--no-look", action="store_true", help="campaign without reading the key first")
+    parser.add_argument("--eager", action="store_true", help="with --tasks: campaign without a wait")
     words = parser.parse_args()
     try:
-        Terms(words.ttl_ms, words.margin_ms, words.drift, words.renew_ms, words.round_trip_ms).check()
+        _terms(words).check()
     except Refused as error:
         print(f"cometseam: {error}", file=sys.stderr)
         return 2
--- a/cometseam/coordination/elect.py
+++ b/cometseam/coordination/elect.py
@@ -12,6 +12,7 @@
 fails).
 """
 
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -25,6 +26,15 @@
 UNANSWERED: Any = object()  # what `_ask` returns for a request that failed or took too long
 
 
+def boot_time() -> float:
+    """The clock of leases: ms since the machine started, the time that it was suspended included.
+
+    Not the front's own (Unix time that never goes back: it can be set), nor the plain monotonic one, which
+    stands still while the machine is suspended, so that on waking a lease that has ended seems to live.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
 @dataclass(frozen=True)
 class Place:
     """Where the service is, as `host:port` on loopback or a fleet's address."""
@@ -77,6 +87,12 @@
         except Exception:  # the link failed, the deadline passed or the service refused: not answered
             return UNANSWERED
 
+    def _stamp(self) -> tuple[float, int | None]:
+        """When a request is sent, and how often the clock had gone back by then; None: the task is lost."""
+        now = self.clock()
+        self.owner.tick(now)
+        return now, None if self.owner.state is State.LOST else self.owner.turns
+
     async def campaign(self) -> None:
         """Ask for a lease and try to create the task's key with it; tell the machine what came of it."""
         now = self.clock()
@@ -88,7 +104,7 @@
             held = await self._ask(self.client.get(key_of(self.owner.task)))
             if held is UNANSWERED or held is not None:
                 return
-        sent = self.clock()
+        sent, turns = self._stamp()
         lease = await self._ask(self.client.lease(max(int(self.owner.terms.ttl_ms // 1000), 1)))
         if lease is UNANSWERED:
             return
@@ -107,7 +123,7 @@
         succeeded, replies = answer
         if succeeded:
             self.lease = lease
-            self.owner.won(replies[0].response_put.header.revision, sent, self.clock())
+            self.owner.won(replies[0].response_put.header.revision, sent, self.clock(), turns or 0)
         else:
             await self._ask(lease.revoke())  # not needed: let it go at once rather than at its end
 
@@ -115,10 +131,13 @@
         """Renew the lease, then look at who holds the key."""
         if self.lease is None:
             return
-        sent = self.clock()
+        sent, turns = self._stamp()
+        if turns is None:
+            self.lease = None  # given up: not asked for again, it ends by itself
+            return
         reply = await self._ask(self.lease.refresh())
         if reply is not UNANSWERED and reply is not None:
-            self.owner.renewed(sent, float(reply.TTL) * 1000.0, self.clock())
+            self.owner.renewed(sent, float(reply.TTL) * 1000.0, self.clock(), turns)
         held = await self._ask(self.client.get(key_of(self.owner.task)))
         if held is not UNANSWERED:  # `get` answers None for a key that is not there
             self.owner.saw(held.create_revision if held is not None else 0, self.clock())
@@ -126,6 +145,31 @@
         if self.owner.state is State.LOST:
             self.lease = None  # renewed no more: given up, or gone at the service
 
+    async def put(self, key: bytes, value: bytes) -> bool:
+        """Write a key as the task's owner, or not at all: in one transaction with the check of who owns it.
+
+        The service itself is the fence here: the write counts only while the task's key is the one that this
+        front created (its create revision is the token), however late the request arrives. The key goes with
+        the owner's lease. Returns whether it was written; unanswered counts as not, and may have been.
+        """
+        owner, tx = self.owner, self.client.transactions
+        if self.lease is None or not owner.may_act(self.clock()):
+            return False
+        mine = key_of(owner.task)
+        answer = await self._ask(
+            self.client.transaction(
+                compare=[tx.create(mine) == owner.token],
+                success=[tx.put(key, value, self.lease)],
+                failure=[tx.get(mine)],
+            )
+        )
+        if answer is UNANSWERED:
+            return False
+        succeeded, _ = answer
+        if not succeeded:
+            owner.saw(0, self.clock())
+        return bool(succeeded)
+
     async def run(self) -> None:
         """Campaign and renew every `renew_ms`, until cancelled; on the way out, give the lease back."""
         try:
@@ -136,6 +180,17 @@
                     await self.renew()
                 await anyio.sleep(self.owner.terms.renew_ms / 1000.0)
         finally:
-            if self.lease is not None:
-                with anyio.CancelScope(shield=True), anyio.move_on_after(0.5):
-                    await self._ask(self.lease.revoke())
+            await self.leave()
+
+    async def keep(self) -> None:
+        """Renew every `renew_ms` for as long as the task is held; return once it is lost."""
+        while self.lease is not None:
+            await anyio.sleep(self.owner.terms.renew_ms / 1000.0)
+            await self.renew()
+
+    async def leave(self) -> None:
+        """Give the lease back, so that the next owner need not wait for its end; also when cancelled."""
+        if self.lease is not None:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(0.5):
+                await self._ask(self.lease.revoke())
+            self.lease = None
--- /dev/null
+++ b/cometseam/coordination/follow.py
@@ -0,0 +1,85 @@
+"""Follows a range of keys on the service: reads of the whole, and a watch beside them.
+
+The watch brings changes at once; the reads, every `refresh_ms`, bound how old the view can be whatever the
+watch does: a watch can be compacted under (the service has dropped the revision it starts from), can end
+with its connection, or can be silent on a link that swallows what it should carry, which nothing on the
+client's side tells from calm. What is known is a `View`'s to decide; this file only asks.
+
+What cancels it: leaving `run`'s task group. Nothing is left at the service but a watch that ends with the
+connection.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aetcd
+import anyio
+
+from cometseam.ownership import Entry, Told, View
+
+Clock = Callable[[], float]
+Tell = Callable[[list[Told]], None]
+LEAST_PAUSE = 0.05  # s between two watches: one that ends at once must not be begun in a loop
+
+
+class Follower:
+    """One front's view of the keys below `prefix`; `tell` is called with every change, in order."""
+
+    def __init__(
+        self, client: aetcd.Client, prefix: bytes, refresh_ms: float, clock: Clock, tell: Tell
+    ) -> None:
+        self.client, self.prefix, self.refresh_ms = client, prefix, refresh_ms
+        self.clock, self.tell = clock, tell
+        self.view = View()
+        self.reads = self.unanswered = self.watches = self.ended = 0
+
+    async def _answered(self, call: Awaitable[Any]) -> Any:
+        try:
+            return await call
+        except Exception:  # the link failed, the deadline passed, or the service refused
+            self.unanswered += 1
+            return None
+
+    async def read(self) -> bool:
+        """Read the whole range once; tell what changed, and whether it was answered."""
+        sent, floor = self.clock(), self.view.revision
+        self.reads += 1
+        answer = await self._answered(self.client.get_prefix(self.prefix))
+        if answer is None:
+            return False
+        entries = {kv.key: Entry(kv.value, kv.create_revision, kv.mod_revision) for kv in answer}
+        told = self.view.read(answer.header.revision, entries, sent, floor)
+        if told:
+            self.tell(told)
+        return True
+
+    async def _watch(self) -> None:
+        """Watch from the last known revision until the watch ends, for whatever reason."""
+        self.watches += 1
+        try:
+            watch = await self.client.watch_prefix(self.prefix, start_revision=self.view.revision + 1)
+            async for event in watch:
+                kv = event.kv
+                put = str(event.kind).endswith("PUT")
+                entry = Entry(kv.value, kv.create_revision, kv.mod_revision) if put else None
+                told = self.view.event(kv.mod_revision, kv.key, entry)
+                if told:
+                    self.tell(told)
+        except Exception:  # compacted under, or the connection ended: the next read mends what was missed
+            self.ended += 1
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while not await self.read():
+                await anyio.sleep(self.refresh_ms / 1000.0)
+            tasks.start_soon(self._refresh)
+            while True:
+                await self._watch()
+                await anyio.sleep(LEAST_PAUSE)
+                await self.read()
+
+    async def _refresh(self) -> None:
+        while True:
+            await anyio.sleep(self.refresh_ms / 1000.0)
+            await self.read()
--- a/cometseam/events.py
+++ b/cometseam/events.py
@@ -41,6 +41,15 @@
         "WARNING", "configuration: {key}: has changed, which needs a restart", {"key": str}
     ),
     "config.read": Known("INFO", "configuration: read anew", {}),
+    "fleet.lapsed": Known("INFO", "fleet: the ruling on {cache} ended unsaid", {"cache": str}),
+    "fleet.ruled": Known(
+        "WARNING", "fleet: {cache} is ruled {word} (token {token}, ruling {number})",
+        {"cache": str, "word": str, "token": int, "number": int},
+    ),
+    "fleet.task": Known(
+        "INFO", "fleet: {task}: {state}, token {token}: {why}",
+        {"task": str, "state": str, "token": int, "why": str},
+    ),
     "front.counters": Known("INFO", "counters ({why}): {counts}", {"why": str, "counts": dict}),
     "front.drains": Known("INFO", "{name} drains", {"name": str}),
     "front.listens": Known(
--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -286,7 +286,20 @@
     by: float
 
 
-Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged | Plans | Eased
+@dataclass(frozen=True, slots=True)
+class Judged:
+    """A verdict of the fleet's prober on a cache: `bad` for `rest` ms from now, evidence begun `age` ms ago.
+
+    Or the verdict has been taken back or has ended: `bad` is False.
+    """
+
+    cache: int
+    bad: bool
+    rest: float
+    age: float
+
+
+Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged | Plans | Eased | Judged
 
 
 @dataclass(slots=True)
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -1,8 +1,7 @@
 """Every decision of the router: which cache a pull goes to, what fills it, what is kept, when to stop.
 
-A caller makes one `Front` for each front, with the seed and the settings it was handed at start, then
-passes each event with the time to `handle` and carries out the actions that come back, in order. The
-events, the actions and the outcomes are in `cometseam.interface`. Nothing is shared between fronts.
+A caller makes one `Front` a front, with its seed and the settings, passes events with the time to `handle`,
+and carries out, in order, what actions come back (`cometseam.interface`). Nothing is shared between fronts.
 """
 
 from bisect import bisect_right
@@ -13,7 +12,7 @@
 from typing import NamedTuple
 
 from cometseam.interface import (
-    Action, Eased, Effect, Ended, Error, Event, Group, HungUp, Lagged, Lifecycle, Listed, ListKind,
+    Action, Eased, Effect, Ended, Error, Event, Group, HungUp, Judged, Lagged, Lifecycle, Listed, ListKind,
     Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch, Workload,
 )  # fmt: skip
 from cometseam.levels import Easing
@@ -190,6 +189,11 @@
                 self.late = max(event.by, WEARS * self.late)
             case Members():
                 self._members(event)
+            case Judged() if event.cache in self.servers:
+                server = self.servers[event.cache]
+                # The fleet's word; an answer that this front got since the evidence began outweighs it.
+                if not event.bad or server.answered < now - event.age:
+                    server.sick_until, server.strikes = now + event.rest, server.strikes or int(event.bad)
             case HungUp() if event.id in self.held:
                 held = self.held[event.id]
                 held.open = False
@@ -221,8 +225,7 @@
         by_id = [self.servers[cache] for cache in sorted(self.servers)]
         parents = [server for server in by_id if server.told.kind == s.parent_kind]
         hub = s.hub_of[s.zone] if s.zone < len(s.hub_of) else -1
-        near = [parent for parent in parents if parent.told.zone == hub]
-        self.parents = [near, [parent for parent in parents if parent not in near]]
+        self.parents = [[p for p in parents if (p.told.zone == hub) is near] for near in (True, False)]
         self.origin = next((server for server in by_id if server.told.kind == s.origin_kind), None)
         upper = (s.parent_kind, s.origin_kind)
         self.edges = [e for e in by_id if e.told.zone == s.zone and e.told.kind not in upper]
@@ -481,9 +484,8 @@
     def _limits(self, held: Held) -> list[Limit]:
         """Tell which limits the relay that is out counts against."""
         limits = [server.load for server in dict.fromkeys((held.way.target, held.way.source))]
-        if held.fills:
-            limits += (self.fills,) if held.way.only_held else (self.fills, self.fetches)
-        return limits
+        more = [self.fills] if held.way.only_held else [self.fills, self.fetches]
+        return limits + more * held.fills
 
     def _may_repeat(self, held: Held, target: Server) -> bool:
         """Tell whether a pull that may have run may go to this cache as well."""
@@ -515,12 +517,11 @@
 
     def _answer(self, held: Held) -> None:
         """Give the final answer: shed where trying again is harmless, else errored."""
-        held.open, workload = False, held.workload
+        held.open, workload, s = False, held.workload, self.settings
         dropped = workload.effect is Effect.TAGGED and workload.group is Group.ALL  # a repeat is known
         if held.maybe is None or workload.effect is Effect.REPEATABLE or dropped:
-            back = self.easing.later(held.plan.come_back_in or workload.quoted)
-            back = min(back, self.settings.longest_retry)
-            self.actions.append(Shed(held.pull.id, back if self.settings.tells_retry else 0.0))
+            back = min(self.easing.later(held.plan.come_back_in or workload.quoted), s.longest_retry)
+            self.actions.append(Shed(held.pull.id, back if s.tells_retry else 0.0))
         else:
             self.actions.append(Error(held.pull.id))
 
@@ -556,8 +557,7 @@
         target, source, outcome, remark = held.way.target, held.way.source, event.outcome, event.remark
         if self.settings.link_report < len(event.load) and target in self.near:
             self.link_full = event.load[self.settings.link_report]
-            others = 1.0 - 1.0 / self._sharing(target.told)  # its own part this front knows better
-            self.fills.see(others * self.link_full, self.now)
+            self.fills.see((1.0 - 1.0 / self._sharing(target.told)) * self.link_full, self.now)  # others'
         looked = source is target or held.way.only_held
         looked = looked and outcome is Outcome.MISS and remark not in SOURCE_AT_FAULT
         if looked:
--- a/cometseam/operator/compile.py
+++ b/cometseam/operator/compile.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from cometseam.interface import Allowance, Kind, Plan, Plans, Span
+from cometseam.operator import fleet
 from cometseam.operator.compiled import Compiled
 from cometseam.operator.levels import read_levels
 from cometseam.operator.networks import Networks, told
@@ -58,6 +59,7 @@
         self._routes()
         self._fallbacks()
         self.scheme = read_levels(file.levels, platform, self.file.routes, self._complain)
+        self.fleet = fleet.check(file.fleet, self._complain)
 
     def _complain(self, path: Path, reason: str) -> None:
         if (path, reason) not in self._told:
@@ -243,7 +245,7 @@
         trees = (tuple(grower.roots), tuple(grower.nodes), tuple(grower.leaves))
         table = Table(routes, *trees, tuple(intervals))
         names = tuple(entry.name for entry in self.entries)
-        return Compiled(digest, told_plans, names, table, self.scheme), intervals
+        return Compiled(digest, told_plans, names, table, self.scheme, self.fleet), intervals
 
 
 def _objects(prefix: str | None, low: str | None, high: str | None) -> tuple[int, int]:
--- a/cometseam/operator/compiled.py
+++ b/cometseam/operator/compiled.py
@@ -43,6 +43,7 @@
     names: tuple[str, ...]  # of the routes, in order
     table: Table
     scheme: Scheme | None = None  # the levels of reduced service
+    fleet: dict[str, Any] | None = None  # the part in the fleet, as `fleet.read` takes it
 
 
 def _allowance(value: Any) -> Allowance | None:
@@ -125,6 +126,7 @@
         "leaves": table.leaves,
         "networks": networks,
         "levels": None if compiled.scheme is None else scheme_to_json(compiled.scheme),
+        "fleet": compiled.fleet,
     }
     return json.dumps(text).encode()
 
@@ -149,4 +151,4 @@
         tuple(_intervals(network) for network in values["networks"]),
     )
     scheme = None if values["levels"] is None else scheme_from_json(values["levels"])
-    return Compiled(values["digest"], plans, tuple(values["names"]), table, scheme)
+    return Compiled(values["digest"], plans, tuple(values["names"]), table, scheme, values.get("fleet"))
--- a/cometseam/operator/schema.py
+++ b/cometseam/operator/schema.py
@@ -339,6 +339,44 @@
     steps: Annotated[list[LevelForm], Field(min_length=1, max_length=16)]
 
 
+class TaskForm(Strict):
+    """A task that one front of the fleet holds at a time: its lease."""
+
+    ttl: Duration
+    margin: Duration
+    renew: Duration
+
+
+class ProbingForm(Strict):
+    """How the holder of the task `probe` probes caches, and how long its verdicts hold."""
+
+    interval: Annotated[Duration, Field(ge=100.0)] = 1000.0
+    within: Annotated[Duration, Field(ge=10.0)] = 300.0
+    fails: Annotated[Whole, Field(ge=2, le=100)] = 3
+    passes: Annotated[Whole, Field(ge=1, le=100)] = 2
+    lasts: Annotated[Duration, Field(ge=1000.0)] = 6000.0
+    most_bad: Annotated[Number, Field(gt=0.0, le=1.0)] = 0.5
+    most_out: Annotated[Whole, Field(ge=1, le=1024)] = 32
+
+
+class LogForm(Strict):
+    """One front, the holder of the task `list`, reads the change log for all; one log, one numbering."""
+
+    bound: Annotated[Duration, Field(ge=2500.0)] = 4000.0
+
+
+class FleetForm(Strict):
+    """The front's part in the fleet: a coordination service, and the tasks held on it."""
+
+    service: Annotated[str, Field(min_length=1, max_length=255)]
+    round_trip: Annotated[Duration, Field(gt=0.0)] = 100.0
+    drift: Annotated[Number, Field(ge=0.0, le=0.1)] = 0.01
+    refresh: Annotated[Duration, Field(ge=100.0)] = 1000.0
+    tasks: Annotated[dict[str, TaskForm], Field(max_length=1024)]
+    probing: ProbingForm | None = None
+    log: LogForm | None = None
+
+
 class FrontForm(Strict):
     """What holds for the front as a whole."""
 
@@ -354,6 +392,7 @@
     default: PlanForm = PlanForm()
     workloads: dict[str, PlanForm] = {}
     levels: LevelsForm | None = None
+    fleet: FleetForm | None = None
     largest: dict[str, Annotated[float, BeforeValidator(size)]] = {}
     routes: Annotated[list[RouteForm], Field(max_length=20_000)] = []
 
--- a/cometseam/ownership/fence.py
+++ b/cometseam/ownership/fence.py
@@ -4,9 +4,11 @@
 The owner's own clock keeps it from acting late in all but one case: it checked, was paused or delayed, and
 its effect arrived after a newer owner's. Only the target can refuse that one (Chubby's sequencers; fencing
 tokens). A fence keeps, for each task, the highest token that it has let through; an effect with a lower token
-is stale and is refused. An equal token is the same owner's and passes. The table holds one entry a task;
-tasks are named by the operator's file, so it is bounded by it; `forget` empties an entry when a task is
-dropped.
+is stale and is refused. An equal token is the same owner's and passes, but only under the same name: two
+owners with one token can't come of one service, only of two that both think they are it (a member cut off and
+served on its own, a cluster restored from a backup beside the one that runs), and then the one heard first
+stands. The table holds one entry a task; tasks are named by the operator's file, so it is bounded by it;
+`forget` empties an entry when a task is dropped.
 """
 
 from dataclasses import dataclass
@@ -26,15 +28,22 @@
     def __init__(self, enforce: bool = True) -> None:
         self.enforce = enforce
         self.highest: dict[str, int] = {}
+        self.names: dict[str, str] = {}  # whose the highest token is, where owners tell
+        self.twins = 0  # effects refused since another owner came with the same token
 
-    def admit(self, task: str, token: int) -> Verdict:
-        """Judge an effect of `task` with `token`; a token of 0 or less is no owner's, and is refused."""
+    def admit(self, task: str, token: int, name: str = "") -> Verdict:
+        """Judge an effect of `task` with `token` from `name`; a token of 0 or less is no owner's: refused."""
         known = self.highest.get(task, 0)
         if token <= 0 or (self.enforce and token < known):
             return Verdict(False, known)
-        self.highest[task] = max(known, token)
+        if self.enforce and token == known and name != self.names.get(task, name):
+            self.twins += 1
+            return Verdict(False, known)
+        if token >= known:
+            self.highest[task], self.names[task] = token, name
         return Verdict(True, self.highest[task])
 
     def forget(self, task: str) -> None:
         """Drop a task that is no longer named."""
         self.highest.pop(task, None)
+        self.names.pop(task, None)
--- a/cometseam/ownership/machine.py
+++ b/cometseam/ownership/machine.py
@@ -101,6 +101,8 @@
         self.state = State.CANDIDATE
         self.token = 0
         self.sent_at = 0.0  # when the last request that granted or renewed the lease was sent
+        self.seen = 0.0  # the latest time handed in
+        self.turns = 0  # how often the clock was seen to go back: what was sent before a turn proves nothing
         self.changes: list[Change] = []  # emptied by whoever reads them: `drain`
 
     def _go(self, after: State, at: float, why: str) -> None:
@@ -113,24 +115,39 @@
         changes, self.changes = self.changes, []
         return changes
 
-    def won(self, token: int, sent_at: float, now: float) -> None:
+    def _look(self, now: float) -> None:
+        """Take in the time. Guards against a clock that goes back (a process moved to another machine, a
+        suspended one, a faulty source): by it a lease that has ended still lives. What holds the lease is
+        then unproven, so this front acts no more until a renewal that it sends from now on is answered."""
+        if now < self.seen:
+            self.turns += 1
+            self.sent_at = now - self.terms.acting_ms
+            if self.state is State.OWNER:
+                self._go(State.LOSING, now, "clock went back")
+        self.seen = now
+
+    def won(self, token: int, sent_at: float, now: float, turns: int = 0) -> None:
         """The campaign's transaction wrote this front's key at revision `token`; the lease was asked at
-        `sent_at`."""
+        `sent_at`, when `turns` was the machine's."""
         if token <= 0:
             raise ValueError(f"token {token} is not a revision")
+        self._look(now)
         self.token = token
-        self.sent_at = sent_at
+        self.sent_at = sent_at if turns == self.turns else now - self.terms.acting_ms
         self._go(State.OWNER if self._live(now) else State.LOSING, now, "won")
 
-    def renewed(self, sent_at: float, ttl_ms: float, now: float) -> None:
-        """A keep-alive sent at `sent_at` came back with `ttl_ms` left; 0 or less means the lease is gone."""
+    def renewed(self, sent_at: float, ttl_ms: float, now: float, turns: int = 0) -> None:
+        """A keep-alive sent at `sent_at`, when `turns` was the machine's, came back with `ttl_ms` left; 0 or
+        less means the lease is gone."""
+        self._look(now)
         if self.state not in (State.OWNER, State.LOSING):
             return
         if ttl_ms <= 0.0:
             self._go(State.LOST, now, "lease gone")
             return
-        # A reply to an older keep-alive than one already counted moves nothing back.
-        self.sent_at = max(self.sent_at, sent_at)
+        if turns == self.turns:
+            # A reply to an older keep-alive than one already counted moves nothing back.
+            self.sent_at = max(self.sent_at, sent_at)
         self._go(State.OWNER if self._live(now) else State.LOSING, now, "renewed")
 
     def saw(self, holder_token: int, now: float) -> None:
@@ -148,6 +165,7 @@
         keep-alive arrived. A task is so without an owner for at most `acting_ms + 2 * ttl_ms` after the last
         answer heard.
         """
+        self._look(now)
         if self.state is State.OWNER and not self._live(now):
             self._go(State.LOSING, now, "renewal overdue")
         if self.state is State.LOSING and now >= self.sent_at + self.terms.acting_ms + self.terms.ttl_ms:
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -2,6 +2,7 @@
 
 import gc
 import signal
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +25,7 @@
 # By the protocol, after SIGTERM: new connections come for 400 ms and pulls on open ones for 200 ms more, by
 # clients' clocks; it is killed no sooner than 700 ms after the longest cut-off, of which 3 s count at most.
 KILLED_PAST, MOST_CUT_OFF = 700.0, 3000.0
+Actor = Callable[[], Coroutine[Any, Any, None]]
 POOL_PART = 2  # of the memory that the interpreter leaves, what goes to buffers
 UNSEEN = 20000  # objects made and not freed between two looks for cycles
 TURN = 10.0  # ms between two looks at what is still owed
@@ -49,6 +51,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(UNSEEN)
+    fleet = _fleet(config, compiled, router, log)
     async with anyio.create_task_group() as tasks:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
             if compiled is not None:
@@ -59,8 +62,10 @@
             tasks.start_soon(listener.run, tasks)
             tasks.start_soon(listener.end_overdue, config.links.longest_cut_off)
             tasks.start_soon(_sample, clock, router)
+            if fleet is not None:
+                tasks.start_soon(fleet)
             say("front.listens", name=config.name, host=config.listen[0], port=config.listen[1])
-            reader = OperatorsFile(router)
+            reader = OperatorsFile(router, compiled.fleet if compiled is not None else None)
             async for number in signals:
                 if number == signal.SIGTERM:
                     break
@@ -85,6 +90,19 @@
     _print("at exit", router)
 
 
+def _fleet(config: Config, compiled: Compiled | None, router: Router, log: ChangeLog) -> Actor | None:
+    """Return the front's part in the fleet; None, with nothing imported, where the file names no service."""
+    if compiled is None or compiled.fleet is None:
+        return None
+    from cometseam.coordination.party import Party, boot_time
+    from cometseam.operator.fleet import read
+
+    def judged(heard: Any) -> None:
+        router.judge(heard.cache, heard.bad, heard.rest, heard.age)
+
+    return Party(read(compiled.fleet), config.name, boot_time, router.addresses, judged, log).run
+
+
 def _print(why: str, router: Router) -> None:
     for peer, ends in router.peers():
         say("peer.counters", why=why, peer=peer, ends=ends)
@@ -94,8 +112,8 @@
 class OperatorsFile:
     """Reads the operator's file anew beside what is served, one reading at a time."""
 
-    def __init__(self, router: Router) -> None:
-        self._router = router
+    def __init__(self, router: Router, fleet: dict[str, Any] | None = None) -> None:
+        self._router, self._fleet = router, fleet
         self._scope = anyio.CancelScope()
         self._turn = 0
 
@@ -129,6 +147,8 @@
                 say("operator.refused", place="", path=f"{path}: ", reason=why)
             else:
                 COUNTERS.add("operator.taken")
+                if compiled.fleet != self._fleet:
+                    say("config.needs_restart", key="fleet (of the operator's file)")
                 self._router.replan(compiled)
                 routes, plans = len(compiled.names), len(compiled.plans.plans)
                 say("operator.taken", routes=routes, plans=plans, digest=compiled.digest)
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -84,7 +84,17 @@
     compiled: Compiled
 
 
-Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan
+@dataclass(slots=True)
+class Judge:
+    """The fleet's verdict on a cache, by name; see `interface.Judged`."""
+
+    cache: str
+    bad: bool
+    rest: float
+    age: float
+
+
+Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan | Judge
 
 
 class Router:
@@ -148,6 +158,14 @@
         """Have pulls that are taken from now on go by other plans."""
         self._mailbox.put_urgent(Replan(compiled))  # one a reload
 
+    def judge(self, cache: str, bad: bool, rest: float, age: float) -> None:
+        """Take in a verdict of the fleet on a cache; one on a cache that is not listed is passed over."""
+        self._mailbox.put_urgent(Judge(cache, bad, rest, age))  # as many as there are caches, a few a minute
+
+    def addresses(self) -> dict[str, tuple[str, int]]:
+        """Return where the listed caches of this list are, by name: those that may be sent to."""
+        return self._roster.addresses()
+
     def _relevel(self, compiled: Compiled) -> None:
         """Take other levels of reduced service over; the present one goes on by its name."""
         if compiled.scheme is None:
@@ -207,6 +225,12 @@
                 self._decide(message)
                 if self._levels is not None:
                     self._levels.look(message.by)
+            case Judge():
+                number = self._roster.number(message.cache)
+                if number is None:  # it has left the list, or is not on this front's yet
+                    COUNTERS.add("fleet.verdict.unlisted")
+                    return
+                self._decide(i.Judged(number, message.bad, message.rest, message.age))
             case Replan():  # between two events: no pull sees half of the old routes and half of the new
                 self._table = message.compiled.table
                 self._decide(message.compiled.plans)
--- a/cometseam/routing/translate.py
+++ b/cometseam/routing/translate.py
@@ -30,6 +30,15 @@
         """Return a cache's line."""
         return self._lines.get(cache)
 
+    def number(self, name: str) -> int | None:
+        """Return the number of a listed cache; None where it is not listed."""
+        return self._numbers.get(name)
+
+    def addresses(self) -> dict[str, tuple[str, int]]:
+        """Return the addresses of the caches that are ready, by name."""
+        ready = i.Lifecycle.READY
+        return {line.name: line.address for line in self._lines.values() if line.lifecycle is ready}
+
     def _number(self, name: str) -> int:
         """Tell a cache's number: by its name alone, so that all fronts hash alike, also after a restart."""
         salt = 0
--- a/cometseam/transport/changelog.py
+++ b/cometseam/transport/changelog.py
@@ -14,6 +14,7 @@
 
 POLL = 2000  # ms a poll may take where nothing is to be told: a dead link shows well within the 7 s allowed
 PATIENCE = 1000  # ms past that, and for a connection to come up
+REST = 50.0  # ms between two looks at whether another front still reads the log for this one
 FIRST_WAIT, LONGEST_WAIT = 20.0, 500.0  # ms between two tries that fail
 
 
@@ -27,6 +28,15 @@
         self._doubted = (0, 0)  # the event that was due, and the one that came and could not be taken
         self._wait = FIRST_WAIT
         self._link = anyio.CancelScope()  # what is under way with this address
+        # Where one front reads the log for all (`coordination.party`): whether this one rests, and who is
+        # told of each poll that was answered, with its text.
+        self.rests: Callable[[], bool] = lambda: False
+        self.polled: Callable[[bytes], None] = lambda text: None
+
+    @property
+    def last(self) -> int:
+        """Tell the number of the last event taken."""
+        return self._last
 
     def move(self, address: tuple[str, int]) -> None:
         """Go on at another address, at once; what the old one was about to tell is asked for anew."""
@@ -38,6 +48,9 @@
         """Poll until cancelled."""
         while True:
             with anyio.CancelScope() as self._link:
+                if self.rests():
+                    await anyio.sleep(REST / 1000.0)
+                    continue
                 try:
                     await self._poll()
                 except Exception as error:  # whatever it is, the list held stays and the poll starts again
@@ -57,13 +70,26 @@
                     text = await self._ask(http, stream)
                 changes = read_text(text, self._names)
                 self._take(changes)
+                self.polled(text)
                 self._wait = FIRST_WAIT
+                if self.rests():
+                    return
                 if not changes:  # a log that answers at once with nothing must not keep the front busy
                     await anyio.sleep(FIRST_WAIT / 1000.0)
                 if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                     return
                 http.start_next_cycle()
 
+    def hear(self, text: bytes) -> bool:
+        """Take in events that another front has read, as the log would tell them; return whether they go on
+        from where this one is. What is repeated is passed over, what leaves a gap is not taken."""
+        try:
+            self._take(read_text(text, self._names))
+        except Malformed:
+            self._doubted = (0, 0)  # the log itself was not asked yet: it may still tell what is missing
+            return False
+        return True
+
     async def _ask(self, http: h11.Connection, stream: ByteStream) -> bytes:
         host = f"{self._address[0]}:{self._address[1]}"
         ask = h11.Request(method="GET", target=path(self._last, POLL), headers=[("Host", host)])
--- /dev/null
+++ b/cometseam/transport/probe.py
@@ -0,0 +1,25 @@
+"""Asks a cache whether it works: a connection, one question by the protocol, its answer, within a time."""
+
+import anyio
+
+from cometseam.protocol import Malformed
+from cometseam.protocol.resp import ALIVE, Answer, Decoder, Void, write_hello
+
+
+async def probe(address: tuple[str, int], within: float) -> bool:
+    """Return whether the cache at `address` said within `within` ms that it works.
+
+    A cache that takes the connection and says nothing does not work; nor does one that answers anything else
+    than that it is alive. Cancelled, the connection is closed and nothing is left.
+    """
+    answers: list[Answer] = []
+    decoder = Decoder(lambda size: Void(size))
+    with anyio.move_on_after(within / 1000.0):
+        try:
+            async with await anyio.connect_tcp(*address) as stream:
+                await stream.send(write_hello("probe"))
+                while not answers:
+                    decoder.feed(memoryview(await stream.receive(4096)), answers)
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, Malformed):
+            return False
+    return bool(answers) and answers[0].word == ALIVE
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -308,7 +308,8 @@
                 since = int(head.split("since=")[1].split("&")[0])
                 self.polled.append(since)
                 self.news.tell()
-                await self.news.until(lambda: self.broken or len(self.log) + 1 > since)  # noqa: B023
+                with anyio.move_on_after(int(head.split("timeout=")[1].split()[0]) / 1000.0):
+                    await self.news.until(lambda: self.broken or len(self.log) + 1 > since)  # noqa: B023
                 new = [event for event in self.log if event["seq"] > since]
                 told = json.dumps({"seq": len(self.log) + 1, "results": new}).encode()
                 text = self.broken.pop(0) if self.broken else told
@@ -382,11 +383,12 @@
 async def world(
     folder: Path, *more: str, operator: Path | None = None, log: str = "text", listens: bytes = b"listens",
     patience: float = PATIENCE, at: dict[str, str] | None = None, command: list[str] | None = None,
-    environment: dict[str, str] | None = None, **limits: int,
+    environment: dict[str, str] | None = None, name: str = "front-1", **limits: int,
 ) -> AsyncIterator[World]:  # fmt: skip
     """The program among stand-ins for the sample's caches, and for more like its first."""
     here = World()
     here.config["limits"].update(limits)
+    here.config["name"] = name
     here.listens = listens
     here.command = command or here.command
     here.environment = {"COMETSEAM_LOG_FORMAT": log, **(environment or {})}
--- a/tests/standins/caches.py
+++ b/tests/standins/caches.py
@@ -68,6 +68,8 @@
         self._selector = selectors.DefaultSelector()
         self._order = count()
         self._due: list[tuple[float, int, Link, str, bytes]] = []
+        self.silent: set[int] = set()  # caches that take connections and say nothing, whatever they are asked
+        self.helped: Counter[int] = Counter()  # times a cache was asked whether it works
         self._stop = threading.Event()
         for cache in range(number):
             listener = socket.create_server(("127.0.0.1", 0))
@@ -108,7 +110,9 @@
             if parts[0] == "REQ":
                 self._request(link, parts)
             elif parts[0] == "HELO":
-                self._send(link, resp(parts[1], "FIT", "-", b""))
+                self.helped[link.cache] += 1
+                if link.cache not in self.silent:
+                    self._send(link, resp(parts[1], "FIT", "-", b""))
 
     def _read(self, waits: float) -> list[tuple[Link, list[str]]]:
         commands: list[tuple[Link, list[str]]] = []
@@ -149,6 +153,8 @@
         self.most_out = max(self.most_out, len(self.out))
         self.relays.setdefault(id, []).append((time.monotonic(), link.cache))
         self.asked[link.cache] += 1
+        if link.cache in self.silent:
+            return
         delay, word, told, body = self.behave(link.cache, id, fields, self.asked[link.cache])
         if delay is not None:
             heappush(
--- a/tests/standins/etcd.py
+++ b/tests/standins/etcd.py
@@ -7,7 +7,7 @@
 Faults it can be told by its owner (a test): a pause of the process (SIGSTOP) is a frozen leader, and on the
 first tick after, every lease is extended by the gap, as etcd's new leader renews leases to their full TTL;
 `--wal FILE` writes every change before answering and fsyncs it, and a restart replays it (leases get their
-full TTL back, as etcd does on recovery).
+full TTL back, as etcd does on recovery); SIGUSR1 begins and ends losing keep-alives (they do nothing).
 
     python -m tests.standins.etcd --port 0 --wal FILE     # prints "listening PORT", serves until SIGTERM,
                                                           # then prints "calls {method: count}"
@@ -50,6 +50,7 @@
         self.events: list[kv_pb2.Event] = []
         self.next_lease = 0x1000
         self.watchers: set[asyncio.Queue[kv_pb2.Event | None]] = set()
+        self.lose_keep_alives = False
         self.wal = None
         if wal is not None:
             if os.path.exists(wal):
@@ -286,7 +287,8 @@
 
     async def LeaseKeepAlive(self, requests: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:
         async for request in requests:
-            yield self.store.keep(request.ID)
+            if not self.store.lose_keep_alives:
+                yield self.store.keep(request.ID)
 
     async def LeaseTimeToLive(self, request: Any, context: grpc.aio.ServicerContext) -> Any:
         held = self.store.leases.get(request.ID)
@@ -407,6 +409,11 @@
     print(f"listening {bound}", flush=True)
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+
+    def lose() -> None:
+        store.lose_keep_alives = not store.lose_keep_alives
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, lose)
     timer = asyncio.ensure_future(keep_time(store))
     await stop.wait()
     print("calls " + json.dumps(count.calls, sort_keys=True), flush=True)
--- a/tests/standins/faults.py
+++ b/tests/standins/faults.py
@@ -26,6 +26,7 @@
         self.hold = False  # bytes from either side wait here until it is False again
         self.drop_up = False  # bytes towards upstream are thrown away
         self.drop_down = False  # bytes towards the front are thrown away
+        self.delay = 0.0  # s that each chunk is late, in either direction
         self.cut = False  # every connection is closed, and new ones are closed at once
         self.held = 0  # bytes waiting now
         self.held_up = 0  # of them, bytes towards upstream
@@ -59,6 +60,8 @@
                     await self.released.wait()
                     self.held -= len(chunk)
                     self.held_up -= len(chunk) if up else 0
+                if self.delay:
+                    await anyio.sleep(self.delay)
                 if self.cut:
                     break
                 if not dropped():
@@ -124,7 +127,7 @@
                         await stream.send(b"BAD\n")
                         continue
                     task, token, name, number = words[1], int(words[2]), words[3], int(words[4])
-                    verdict = self.fence.admit(task, token)
+                    verdict = self.fence.admit(task, token, name)
                     self.history.append(
                         Effect(time.monotonic() * 1000.0, task, token, name, number, verdict.passed)
                     )
@@ -148,7 +151,7 @@
 
     It is what one owner at a time means at the target: once a newer owner's effect has landed, no older
     owner's may. Two owners' effects interleaving (split brain) show here too, as a lower token passing after
-    a higher one.
+    a higher one; so does one token with two names.
     """
     found = []
     highest: dict[str, Effect] = {}
@@ -161,6 +164,8 @@
                 f"{effect.task}: {effect.name} token {effect.token} #{effect.number} landed after "
                 f"{top.name} token {top.token}"
             )
+        if top is not None and effect.token == top.token and effect.name != top.name:
+            found.append(f"{effect.task}: token {effect.token} landed from {top.name} and {effect.name}")
         if top is None or effect.token >= top.token:
             highest[effect.task] = effect
     return found
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -3,15 +3,16 @@
 """
 
 import os
+import shutil
 import signal
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
-from anyio.abc import Process
+from anyio.abc import Process, TaskGroup
 
 from cometseam.ownership import Fence
 from tests.standins.faults import Effect, Proxy, Target, anomalies
@@ -28,6 +29,39 @@
     etcd: Process
     wal: str
     said: dict[str, list[str]]  # what each front printed
+    group: TaskGroup = field(init=False)
+
+    async def start_front(self, name: str, extra: tuple[str, ...] = ()) -> None:
+        """Start a front on its links, or start one that was ended again."""
+        words = {
+            "--etcd": f"127.0.0.1:{self.services[name].port}",
+            "--target": f"127.0.0.1:{self.links[name].port}",
+            "--name": name, "--ttl-ms": str(TTL_MS), "--margin-ms": "250", "--renew-ms": "200",
+            "--round-trip-ms": "100",
+        }  # fmt: skip
+        command = [sys.executable, "-m", "cometseam.coordination.agent"]
+        command += [word for pair in words.items() for word in pair]
+        self.fronts[name] = await anyio.open_process(
+            [*command, *extra], env={**os.environ, "PYTHONUNBUFFERED": "1"}
+        )
+        with anyio.fail_after(20):
+            await first_line(self.fronts[name], b"ready")
+        self.said.setdefault(name, [])
+        self.group.start_soon(drain, self.fronts[name], self.said[name])
+
+    async def split_service(self, names: list[str]) -> Process:
+        """Start a second member from a copy of the log and lead these fronts to it: both think they are it.
+
+        The caller ends it.
+        """
+        copy = self.wal + ".split"
+        shutil.copyfile(self.wal, copy)
+        other, port = await start_etcd(copy)
+        for name in names:
+            self.services[name].upstream = port
+            await self.services[name].set_cut()
+            self.services[name].cut = False
+        return other
 
     async def restart_service(self) -> None:
         """Kill the stand-in (SIGKILL), start it again from its log on a new port behind the same proxies."""
@@ -69,7 +103,6 @@
 
 @asynccontextmanager
 async def fleet(fronts: int, enforce: bool = True, extra: tuple[str, ...] = ()) -> AsyncIterator[Fleet]:
-    env = {**os.environ, "PYTHONUNBUFFERED": "1"}
     processes: dict[str, Process] = {}
     with tempfile.TemporaryDirectory() as folder:
         wal = os.path.join(folder, "etcd.wal")
@@ -78,41 +111,13 @@
         try:
             async with anyio.create_task_group() as group:
                 await here.target.start(group)
+                here.group = group
                 for number in range(fronts):
                     name = f"f{number}"
-                    link, service = Proxy(here.target.port), Proxy(port)
-                    await link.start(group)
-                    await service.start(group)
-                    here.links[name], here.services[name] = link, service
-                    processes[name] = await anyio.open_process(
-                        [
-                            sys.executable,
-                            "-m",
-                            "cometseam.coordination.agent",
-                            "--etcd",
-                            f"127.0.0.1:{service.port}",
-                            "--target",
-                            f"127.0.0.1:{link.port}",
-                            "--task",
-                            "probe",
-                            "--name",
-                            name,
-                            "--ttl-ms",
-                            str(TTL_MS),
-                            "--margin-ms",
-                            "250",
-                            "--renew-ms",
-                            "200",
-                            "--round-trip-ms",
-                            "100",
-                            *extra,
-                        ],
-                        env=env,
-                    )
-                    with anyio.fail_after(20):
-                        await first_line(processes[name], b"ready")
-                    here.said[name] = []
-                    group.start_soon(drain, processes[name], here.said[name])
+                    here.links[name], here.services[name] = Proxy(here.target.port), Proxy(port)
+                    await here.links[name].start(group)
+                    await here.services[name].start(group)
+                    await here.start_front(name, extra)
                 yield here
                 group.cancel_scope.cancel()
         finally:
--- /dev/null
+++ b/tests/standins/fronts.py
@@ -0,0 +1,96 @@
+"""Several real fronts (`python -m cometseam serve`) on loopback, with an operator's file that names the etcd
+stand-in, caches that say whether they work, and our proxy on each front's link to the service.
+"""
+
+import os
+import re
+import signal
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+from anyio.abc import Process
+
+from tests.drive import World, world
+from tests.standins.caches import Answer, Caches
+from tests.standins.faults import Proxy
+from tests.standins.fleet import start_etcd
+
+FILE = """{ version: 1, fleet: { service: '127.0.0.1:%d', round_trip: '100ms', refresh: '400ms',
+  tasks: { probe: { ttl: '1s', margin: '250ms', renew: '200ms' },
+           list: { ttl: '1s', margin: '250ms', renew: '200ms' } }, log: { bound: '2500ms' },
+  probing: { interval: '100ms', within: '60ms', fails: 2, passes: 2, lasts: '%dms' } } }"""
+STATE = rb"fleet: %s: (\w+), token (\d+): "
+COPY = "tag=4be0c1927d55a6f3,minted=1,why=cached"
+
+
+def well(cache: int, id: str, fields: dict[str, str], asked: int) -> Answer:
+    return 0.002, "DONE", f"{COPY},rep=util:0.5;x1:0.5", b"x"
+
+
+@dataclass
+class Fronts:
+    """Fronts by place, the caches they share, the service."""
+
+    caches: Caches
+    etcd: Process
+    port: int
+    wal: str
+    worlds: list[World] = field(default_factory=list)
+    links: list[Proxy] = field(default_factory=list)
+    stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+
+    def owner(self, task: str) -> int | None:
+        """The place of the front that holds a task by its own log; None where none does."""
+        holds = []
+        for place, here in enumerate(self.worlds):
+            states = re.findall(STATE % task.encode(), here.output)
+            if states and states[-1][0] == b"owner" and here.process.returncode is None:
+                holds.append((int(states[-1][1]), place))
+        return max(holds)[1] if holds else None
+
+    async def probing(self, other: int | None = None, task: str = "probe") -> int:
+        """Wait until a front holds a task, one that is not `other`."""
+        with anyio.fail_after(15):
+            while (place := self.owner(task)) is None or place == other:
+                await anyio.sleep(0.02)
+        return place
+
+
+@asynccontextmanager
+async def fronts(count: int, names: tuple[str, ...], lasts_ms: int = 2000) -> AsyncIterator[Fronts]:
+    """`count` fronts on the same caches: `cache-1` and `names`."""
+    with tempfile.TemporaryDirectory() as folder, Caches(1 + len(names), well) as caches:
+        wal = str(Path(folder) / "etcd.wal")
+        etcd, port = await start_etcd(wal)
+        here = Fronts(caches, etcd, port, wal)
+        at = dict(zip(("cache-1", *names), caches.addresses, strict=True))
+        try:
+            async with anyio.create_task_group() as group, here.stack:
+                for number in range(count):
+                    link = Proxy(port)
+                    await link.start(group)
+                    here.links.append(link)
+                    place = Path(folder) / f"front-{number}"
+                    place.mkdir()
+                    file = place / "operator.jsonnet"
+                    file.write_text(FILE % (link.port, lasts_ms))
+                    front = await here.stack.enter_async_context(
+                        world(place, *names, operator=file, at=at, patience=90.0, name=f"front-{number}")
+                    )
+                    for cache in front.caches.values():  # the parent and the origin of its own
+                        cache.alive = True
+                    here.worlds.append(front)
+                yield here
+                await here.stack.aclose()
+                group.cancel_scope.cancel()
+        finally:
+            for process in [*(front.process for front in here.worlds), here.etcd]:
+                if process.returncode is None:
+                    os.kill(process.pid, signal.SIGCONT)
+                    process.kill()
+                    await process.wait()
+
--- /dev/null
+++ b/tests/test_fleet_decisions.py
@@ -0,0 +1,332 @@
+"""Bids, views, probing and verdicts by hand: the decisions of a front's part in the fleet, without I/O."""
+
+from itertools import pairwise
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cometseam import interface as i
+from cometseam.ownership import Bidder, Entry, Fence, Owner, State, Tail, Terms, Turn, View
+from cometseam.verdicts import Board, Prober, Probing
+from tests.drive import EDGES, Drive
+
+TERMS = Terms(1000.0, 250.0, 0.01, 200.0, 100.0)
+PROBING = Probing(interval=100.0, within=50.0, fails=2, passes=2, lasts=900.0)
+
+
+# The clock of an owner
+
+
+def test_a_clock_that_goes_back_ends_the_time_to_act_until_a_later_renewal() -> None:
+    owner = Owner("probe", TERMS)
+    owner.campaign(10_000.0)
+    owner.won(4, 10_000.0, 10_010.0)
+    assert owner.may_act(10_100.0)
+    asked = owner.turns  # a keep-alive goes out at 10,100 and its answer is still to come
+    assert not owner.may_act(5_000.0) and owner.state is State.LOSING
+    owner.renewed(10_100.0, 1000.0, 5_010.0, asked)  # by the clock before: it proves nothing
+    assert not owner.may_act(5_020.0)
+    owner.renewed(5_030.0, 1000.0, 5_040.0, owner.turns)
+    assert owner.may_act(5_700.0) and not owner.may_act(5_030.0 + 740.0)
+    assert [change.why for change in owner.drain()][1] == "clock went back"
+
+
+def test_a_fence_lets_one_name_through_a_token() -> None:
+    fence = Fence()
+    assert fence.admit("t", 5, "a").passed and not fence.admit("t", 5, "b").passed and fence.twins == 1
+    assert fence.admit("t", 6, "b").passed and fence.admit("t", 6, "b").passed
+    assert not fence.admit("t", 5, "a").passed
+    fence.forget("t")
+    assert fence.admit("t", 1, "a").passed
+
+
+# Bids
+
+
+def crowd(count: int) -> list[Bidder]:
+    return [Bidder(f"front-{n}", ["a", "b"], spread_ms=100.0, again_ms=400.0) for n in range(count)]
+
+
+def test_of_two_hundred_fronts_few_campaign_where_the_key_is_seen_soon() -> None:
+    """A task comes free; what the first winner wrote is seen 5 ms later by all. Without the wait: 200."""
+    fronts = crowd(200)
+    for front in fronts:
+        front.seen("a", 0, 1000.0)
+    now, winner, told = 1000.0, "", 0.0
+    campaigns = 0
+    while not told or now < told + 5.0:
+        for front in fronts:
+            if front.due(now):
+                campaigns += 1
+                winner, told = winner or front.name, told or now
+        now += 0.5
+    for front in fronts:
+        front.seen("a", 7, now)
+    assert campaigns < 40 and all(front.next() is None for front in fronts)
+    assert told <= 1100.0  # the wait is part of the stated time without an owner
+
+
+def test_a_front_that_holds_tasks_comes_after_one_that_holds_none() -> None:
+    one, two = crowd(2)
+    idle = [front.wait("b") for front in (one, two)]
+    one.won("a", 3)
+    assert one.wait("b") > idle[0] and two.wait("b") == idle[1]
+    assert one.held == 1 and one.wait("b") <= 100.0
+
+
+def test_a_campaign_that_came_to_nothing_is_tried_again() -> None:
+    front = crowd(1)[0]
+    front.seen("a", 0, 0.0)
+    assert front.due(100.0) == ["a"] and front.due(101.0) == []
+    assert front.due(500.0) == ["a"]
+    front.won("a", 9)
+    front.seen("a", 0, 600.0)  # late word of the time before
+    assert front.due(2000.0) == []
+    front.lost("a", 2000.0)
+    assert front.due(2399.0) == [] and front.due(2400.0) == ["a"]
+    with pytest.raises(ValueError, match="again_ms"):
+        Bidder("x", [], 1.0, 0.0)
+
+
+# Views
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.integers(0, 2**32), st.integers(5, 60))
+def test_a_view_never_goes_back_and_ends_at_the_last_read(seed: int, length: int) -> None:
+    """A service's history; reads and the watch's events reach the view late, each in its own order."""
+    chance, view = Random(seed), View()
+    state: dict[bytes, Entry] = {}
+    revision, reads = 1, [(1, dict(state), 0)]
+    events: list[tuple[int, bytes, Entry | None]] = []
+    for _ in range(length):
+        key = chance.choice([b"a", b"b", b"c"])
+        revision += 1
+        if key in state and chance.random() < 0.4:
+            del state[key]
+            events.append((revision, key, None))
+        else:
+            created = state[key].created if key in state else revision
+            state[key] = Entry(b"%d" % revision, created, revision)
+            events.append((revision, key, state[key]))
+        if chance.random() < 0.3:
+            reads.append((revision, dict(state), 0))
+    shown: dict[bytes, Entry] = {}
+    written: dict[bytes, int] = {}
+    before = 0
+    while events or reads:
+        late = events and (not reads or chance.random() < 0.7)
+        if late and chance.random() < 0.2:
+            events.pop(0)  # lost with a watch; a read mends it
+            continue
+        if late:
+            told = view.event(*events.pop(0))
+        else:
+            at, entries, floor = reads.pop(0)
+            told = view.read(at, entries, float(at), floor)
+        assert view.revision >= before
+        before = view.revision
+        for change in told:
+            if change.entry is None:
+                del shown[change.key]
+            else:
+                assert change.entry.written > written.get(change.key, 0)
+                shown[change.key] = change.entry
+                written[change.key] = change.entry.written
+        assert shown == view.keys
+    view.read(revision, dict(state), 1.0, view.revision)
+    assert view.keys == state
+
+
+def test_a_service_that_lost_state_is_taken_anew_and_counted() -> None:
+    view = View()
+    assert view.age(0.0) == float("inf")
+    view.read(10, {b"a": Entry(b"x", 5, 9)}, 1.0, 0)
+    assert view.read(8, {}, 2.0, 0) == [] and view.rewound == 0  # answered before what came meanwhile
+    assert [t.key for t in view.read(8, {}, 3.0, 10)] == [b"a"] and view.rewound == 1
+    assert view.age(13.0) == 10.0
+
+
+# Probing
+
+
+def play(prober: Prober, ill: set[str], now: float) -> list[tuple[str, bool]]:
+    for cache in prober.due(now):
+        prober.ended(cache, cache not in ill)
+    return [(ruling.cache, ruling.bad) for ruling in prober.rulings(now)]
+
+
+def over(prober: Prober, ill: set[str], begin: float, end: float) -> list[tuple[float, str, bool]]:
+    seen, now = [], begin
+    while now < end:
+        seen += [(now, *ruling) for ruling in play(prober, ill, now)]
+        now += 10.0
+    return seen
+
+
+def test_a_cache_that_fails_in_a_row_is_ruled_bad_said_again_and_taken_back() -> None:
+    prober = Prober(PROBING)
+    prober.listed(["a", "b", "c", "d"], 0.0)
+    prober.began({}, 0.0)
+    assert over(prober, set(), 0.0, 500.0) == [] and prober.probes == 20
+    ruled = over(prober, {"b"}, 500.0, 1700.0)
+    assert {(cache, bad) for _, cache, bad in ruled} == {("b", True)}
+    assert ruled[0][0] <= 500.0 + 2 * 100.0 + 10.0
+    gaps = [later[0] - earlier[0] for earlier, later in pairwise(ruled)]
+    assert all(300.0 <= gap <= 320.0 for gap in gaps) and len(gaps) == 3
+    back = over(prober, set(), 1700.0, 2300.0)
+    assert [(c, bad) for _, c, bad in back if not bad] == [("b", False)] and back[-1][0] <= 1920.0
+
+
+def test_a_prober_that_finds_most_caches_bad_doubts_itself() -> None:
+    prober = Prober(PROBING)
+    prober.listed(["a", "b", "c", "d"], 0.0)
+    prober.began({}, 0.0)
+    assert over(prober, {"a", "b", "c"}, 0.0, 1000.0) == [] and prober.doubted > 0
+    assert {c for _, c, _ in over(prober, {"a", "b"}, 1000.0, 1300.0)} == {"a", "b"}
+
+
+def test_a_new_prober_goes_on_with_what_holds_and_its_own_probes_take_it_back() -> None:
+    prober = Prober(PROBING)
+    prober.listed(["a", "b", "c"], 0.0)
+    prober.began({"b": -50.0}, 0.0)
+    first = prober.rulings(0.0)
+    assert [(r.cache, r.bad, r.since) for r in first] == [("b", True, -50.0)]
+    assert [(c, bad) for _, c, bad in over(prober, set(), 10.0, 400.0)] == [("b", False)]
+
+
+def test_a_cache_that_leaves_is_forgotten_and_a_late_probe_counts_for_nothing() -> None:
+    prober = Prober(PROBING)
+    prober.listed(["a", "b"], 0.0)
+    assert prober.due(200.0) == ["b", "a"] or prober.due(200.0) == []
+    prober.listed(["b"], 210.0)
+    prober.ended("a", False)
+    assert set(prober.cases) == {"b"}
+    prober.began({}, 220.0)
+    prober.ended("b", False)  # sent before this front became the prober anew
+    assert prober.cases["b"].failed == 0
+
+
+def test_a_ruling_that_was_not_published_is_tried_again() -> None:
+    prober = Prober(PROBING)
+    prober.listed(["a", "b", "c"], 0.0)
+    prober.began({"b": 0.0}, 0.0)
+    for turn in range(3):
+        (ruling,) = prober.rulings(float(turn))
+        prober.unsaid(ruling, float(turn))
+    for now in (100.0, 250.0):
+        prober.due(now)
+        prober.ended("b", True)
+    (good,) = prober.rulings(250.0)
+    assert not good.bad
+    prober.unsaid(good, 250.0)
+    assert [r.bad for r in prober.rulings(260.0)] == [False] and prober.rulings(270.0) == []
+
+
+# Verdicts
+
+
+def test_a_verdict_of_an_older_prober_or_an_earlier_one_is_passed_over() -> None:
+    board = Board(900.0)
+    heard = board.take("a", 5, 1, True, 40.0, 0.0)
+    assert heard is not None and heard.bad and heard.rest == 900.0 and heard.age == 40.0
+    assert board.take("a", 5, 1, True, 40.0, 10.0) is None and board.stale == 0  # the same, read again
+    assert board.take("a", 7, 1, False, 0.0, 20.0) is not None
+    assert board.take("a", 5, 2, True, 0.0, 30.0) is None  # a prober that woke late
+    assert board.take("b", 6, 9, True, 0.0, 30.0) is None and board.stale == 2
+    assert board.bad(30.0) == {}
+
+
+def test_a_verdict_ends_by_the_fronts_own_clock_whatever_the_service_says() -> None:
+    board = Board(900.0)
+    board.take("a", 5, 1, True, 0.0, 0.0)
+    board.take("b", 5, 2, True, 1e9, 500.0)
+    assert board.bad(899.0) == {"a": 0.0, "b": -400.0}  # an age is bounded: it is another's clock's
+    assert board.end(899.0) == [] and board.end(900.0) == ["a"] and board.end(1400.0) == ["b"]
+    assert board.lapsed == 2 and board.notes == {}
+
+
+def test_the_table_of_verdicts_is_bounded() -> None:
+    board = Board(900.0)
+    for number in range(5000):
+        board.take(f"c{number}", 1, number, True, 0.0, float(number))
+    assert len(board.notes) == 4096 and "c0" not in board.notes
+
+
+# What the module makes of a verdict
+
+
+def first_asked(drive: Drive, number: int) -> int:
+    drive.pull(number, wanted=number)
+    return drive.last[number].cache
+
+
+def test_the_module_spares_a_cache_that_is_ruled_bad_without_a_failure_of_its_own() -> None:
+    drive = Drive()
+    fair = {first_asked(drive, number) for number in range(1, 30)}
+    assert fair == set(EDGES)
+    drive = Drive()
+    drive.tell(i.Judged(EDGES[0], True, 5000.0, 300.0))
+    spared = {first_asked(drive, number) for number in range(1, 30)}
+    assert spared == set(EDGES[1:])
+
+
+def test_what_a_front_heard_itself_outweighs_the_fleets_word() -> None:
+    drive = Drive()
+    number = next(n for n in range(1, 100) if first_asked(drive, n) == EDGES[0])
+    drive.end(number)
+    drive.tell(i.Judged(EDGES[0], True, 5000.0, 50.0), after=100.0)  # its evidence began after that answer
+    assert EDGES[0] not in {first_asked(drive, n) for n in range(200, 230)}
+    drive = Drive()
+    number = next(n for n in range(1, 100) if first_asked(drive, n) == EDGES[0])
+    drive.end(number)
+    drive.tell(i.Judged(EDGES[0], True, 5000.0, 500.0), after=100.0)  # it answered since
+    assert EDGES[0] in {first_asked(drive, n) for n in range(200, 230)}
+
+
+def test_verdicts_on_all_caches_shed_nothing_and_a_draining_one_stays_barred() -> None:
+    """A wrong verdict never breaks a rule: a try is better than none, and rule 3 is kept at the gate."""
+    drive = Drive()
+    for cache in EDGES:
+        drive.tell(i.Judged(cache, True, 5000.0, 300.0))
+    assert first_asked(drive, 1) in EDGES
+    drive.tell(i.Members(i.ListKind.CHANGES, (i.Listed(EDGES[0], i.Lifecycle.DRAINING, 0, 1, 1, 0, 8),)))
+    drive.tell(i.Judged(EDGES[0], False, 0.0, 0.0))
+    drive.tell(i.Judged(999, True, 5000.0, 0.0))  # not on the list
+    assert EDGES[0] not in {first_asked(drive, n) for n in range(2, 30)}
+
+
+def test_a_verdict_taken_back_lets_one_relay_go_until_it_answers() -> None:
+    drive = Drive()
+    drive.tell(i.Judged(EDGES[0], True, 5000.0, 300.0))
+    drive.tell(i.Judged(EDGES[0], False, 0.0, 0.0), after=100.0)
+    asked = [first_asked(drive, n) for n in range(1, 30)]
+    assert asked.count(EDGES[0]) == 1
+
+
+# The change log, read by one
+
+
+def test_the_others_rest_while_the_readers_word_moves_and_poll_when_it_stands_still() -> None:
+    turn = Turn(2500.0)
+    assert turn.polls(False, 0.0)  # nothing heard yet
+    assert turn.hears(5, 1, 100.0) and not turn.polls(False, 2599.0) and turn.polls(True, 200.0)
+    assert not turn.hears(5, 1, 2000.0)  # the same word, read again: the reader may be dead
+    assert turn.polls(False, 2600.0)
+    assert turn.hears(9, 1, 3000.0) and not turn.hears(5, 8, 3100.0) and turn.stale == 1
+    turn.caught_up(False)
+    assert turn.polls(False, 3100.0)  # a gap: it asks for what it missed itself
+    turn.caught_up(True)
+    assert not turn.polls(False, 3100.0)
+
+
+def test_the_readers_tail_is_bounded_and_keeps_no_gap() -> None:
+    tail = Tail()
+    tail.add([(n, 10, n) for n in range(1, 400)])
+    assert tail.told() == list(range(144, 400)) and tail.size == 2560
+    tail.add([(500, 10, 500)])
+    assert tail.told() == [500] and tail.polls == 2
+    tail.add([(501, 300 << 10, 501)])
+    assert tail.told() == [] and tail.size == 0
--- /dev/null
+++ b/tests/test_fleet_fronts.py
@@ -0,0 +1,182 @@
+"""Real fronts that take part in a fleet: one probes for all, all hear its verdicts, faults between them."""
+
+import os
+import signal
+from pathlib import Path
+
+import anyio
+import pytest
+
+from cometseam.operator.load import load
+from tests.drive import SAMPLE, order
+from tests.standins.fronts import Fronts, fronts
+
+pytestmark = pytest.mark.anyio
+NAMES = ("cache-2", "cache-3")
+BAD, GOOD = b"cache-2 is ruled bad", b"cache-2 is ruled good"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def pulls(here: Fronts, place: int, count: int, first: int) -> int:
+    """Send pulls for different objects through one front, one at a time; return how many were served."""
+    caller, served = await here.worlds[place].call(), 0
+    for number in range(first, first + count):
+        item = f"{number * 2654435761 % (1 << 64):016x}"
+        await caller.send(order(number, txn=f"{number:016x}", item=item, ram="40"))
+        served += (await caller.next()).code == 1
+    await caller.stream.aclose()
+    return served
+
+
+async def hears(here: Fronts, place: int, bad: bool) -> None:
+    """Wait until a front goes by the verdict on cache-2, as its pulls show."""
+    first = 1 + place * 100_000 + here.caches.asked.total()
+    with anyio.fail_after(10):
+        while True:
+            before = here.caches.asked[1]
+            first += 30
+            served = await pulls(here, place, 30, first)
+            if served == 30 and (here.caches.asked[1] == before) is bad:
+                return
+
+
+async def test_one_front_probes_for_all_and_each_spares_what_it_rules_bad() -> None:
+    async with fronts(3, NAMES) as here:
+        prober = await here.probing()
+        others = [place for place in range(3) if place != prober]
+        here.caches.silent.add(1)
+        await here.worlds[prober].logged(BAD)
+        await hears(here, others[0], True)
+        asked = here.caches.asked[1]
+        served = sum([await pulls(here, place, 40, 500_000 + 1000 * place) for place in others])
+        assert served == 80 and here.caches.asked[1] == asked  # neither paid a failure to learn it
+        # The prober is killed: its verdict holds until another front has taken the task over, and on.
+        here.worlds[prober].process.kill()
+        second = await here.probing(prober)
+        await here.worlds[second].logged(BAD)
+        assert await pulls(here, second, 40, 600_000) == 40 and here.caches.asked[1] == asked
+        here.caches.silent.clear()
+        await here.worlds[second].logged(GOOD)
+        for place in others:
+            await hears(here, place, False)
+        last = next(place for place in others if place != second)
+        counters = await here.worlds[last].stop()
+        assert counters["fleet.verdict.heard"] >= 2 and "fleet.probes" not in counters
+
+
+async def test_a_front_cut_off_from_the_service_serves_on_and_lets_verdicts_end() -> None:
+    async with fronts(2, NAMES, lasts_ms=1800) as here:
+        prober = await here.probing()
+        other = 1 - prober
+        here.caches.silent.add(1)
+        await here.worlds[prober].logged(BAD)
+        await hears(here, other, True)
+        await here.links[other].set_cut()
+        await here.worlds[other].logged(b"the ruling on cache-2 ended unsaid")
+        here.caches.silent.clear()
+        await hears(here, other, False)
+        assert await pulls(here, other, 20, 700_000) == 20
+
+
+async def test_a_prober_paused_past_its_lease_rules_nothing_when_it_wakes() -> None:
+    async with fronts(2, NAMES) as here:
+        first = await here.probing()
+        os.kill(here.worlds[first].process.pid, signal.SIGSTOP)
+        second = await here.probing(first)
+        here.caches.silent.add(1)
+        await here.worlds[second].logged(BAD)
+        await hears(here, second, True)
+        said = here.worlds[first].output.count(b"ruled")
+        os.kill(here.worlds[first].process.pid, signal.SIGCONT)
+        await anyio.sleep(1.0)
+        assert here.worlds[first].output.count(b"ruled") == said
+        await hears(here, first, True)  # awake, it goes by the other's word
+
+
+async def test_one_front_reads_the_change_log_for_all_and_a_drain_reaches_each() -> None:
+    async with fronts(3, NAMES) as here:
+        reader = await here.probing(task="list")
+        others = [place for place in range(3) if place != reader]
+        await anyio.sleep(3.0)  # a long poll is 2 s: those that were out have ended
+        counts = [len(front.polled) for front in here.worlds]
+        await anyio.sleep(3.0)
+        more = [len(front.polled) - count for front, count in zip(here.worlds, counts, strict=True)]
+        assert more[reader] >= 1 and [more[place] for place in others] == [0, 0]
+        # A drain is told: the reader hears it by its poll, the others by its word.
+        for front in here.worlds:
+            drained = front.line("cache-2", status="leaving")
+            front.tell(fleet={"index": 2, "snapshot": False, "endpoints": [drained]})
+        before = anyio.current_time()
+        await hears(here, others[0], True)
+        assert len(here.worlds[others[0]].polled) == counts[others[0]] and anyio.current_time() - before < 2.0
+        # The reader dies: each polls itself until another reads for it.
+        here.worlds[reader].process.kill()
+        await here.probing(reader, task="list")
+        for front in here.worlds:
+            ready = front.line("cache-2", status="active")
+            front.tell(fleet={"index": 3, "snapshot": False, "endpoints": [ready]})
+        for place in others:
+            await hears(here, place, False)
+
+
+async def test_a_front_cut_off_from_the_service_reads_the_change_log_itself() -> None:
+    async with fronts(2, NAMES) as here:
+        reader = await here.probing(task="list")
+        other = 1 - reader
+        await anyio.sleep(2.5)
+        await here.links[other].set_cut()
+        front = here.worlds[other]
+        drained = front.line("cache-2", status="leaving")
+        front.tell(fleet={"index": 2, "snapshot": False, "endpoints": [drained]})
+        await front.polled_from(2)  # within the bound of 2.5 s and a poll
+        await hears(here, other, True)
+
+
+async def test_without_a_service_the_front_serves_as_without_a_fleet() -> None:
+    async with fronts(1, NAMES) as here:
+        here.etcd.kill()
+        await here.etcd.wait()
+        assert await pulls(here, 0, 40, 1) == 40
+        assert await here.worlds[0].stop()
+
+
+BAD_FLEETS = {
+    "ttl: '80ms', margin: '0ms', renew: '20ms'": "the service grants whole seconds",
+    "ttl: '1s', margin: '900ms', renew: '200ms'": "not more than a round trip",
+    "ttl: '1s', margin: '200ms', renew: '900ms'": "so that a renewal lands in time",
+}
+
+
+@pytest.mark.parametrize("terms", list(BAD_FLEETS))
+def test_terms_that_cannot_keep_one_owner_are_refused_at_load(terms: str, tmp_path: Path) -> None:
+    assert BAD_FLEETS[terms] in refused(tmp_path, f"probe: {{ {terms} }}")
+
+
+def test_a_lease_shorter_than_a_round_trip_is_refused_at_load(tmp_path: Path) -> None:
+    told = refused(tmp_path, "probe: { ttl: '1s', margin: '0ms', renew: '200ms' }", "round_trip: '1200ms',")
+    assert "fleet.tasks.probe.ttl: 1000 ms is not longer than a round trip of 1200 ms" in told
+
+
+def test_verdicts_that_end_before_another_prober_can_be_there_are_refused_at_load(tmp_path: Path) -> None:
+    probing = "probing: { lasts: '2s' },"
+    told = refused(tmp_path, "probe: { ttl: '2s', margin: '200ms', renew: '400ms' }", probing)
+    assert "fleet.probing.lasts: 2000 ms ends before another front can have taken the task over" in told
+    assert "nobody would probe" in refused(
+        tmp_path, "list: { ttl: '2s', margin: '200ms', renew: '400ms' }", probing
+    )
+    assert "fleet.service" in refused(tmp_path, "", service="nowhere")
+
+
+def refused(folder: Path, tasks: str, more: str = "", service: str = "127.0.0.1:2379") -> str:
+    """Return the faults of a file with such a fleet."""
+    from cometseam.operator.compiled import Refused
+
+    path = folder / "operator.jsonnet"
+    path.write_text(f"{{ version: 1, fleet: {{ service: '{service}', {more} tasks: {{ {tasks} }} }} }}")
+    with pytest.raises(Refused) as caught:
+        load(path, SAMPLE["settings"])
+    return "\n".join(str(fault) for fault in caught.value.faults)
