Fleet limits: what a cold cache bears is shared out, the sum within its limit under faults

Change: `limits` (no I/O): max-min fair parts; grants as leases counted by the front from when it sent the ask; a coordinator that counts, for each front, the most that it may still be using, and lends nothing of that; what grants before gave stands in the grant, for the next coordinator.

On loopback, three real fronts, a cold stand-in cache: at most its limit in any window under five faults; one hot front reaches over 0.6 of it, where an equal part gives less than half.

--- a/cometseam/coordination/elect.py
+++ b/cometseam/coordination/elect.py
@@ -60,6 +60,19 @@
     return aetcd.Client(host=place.host, port=place.port, timeout=2 * terms.round_trip_ms / 1000.0)
 
 
+async def answered(call: Awaitable[Any]) -> Any:
+    """One request; `UNANSWERED` where it failed or passed the client's deadline.
+
+    The deadline is the gRPC call's own (the client's `timeout`, see `connect`), never a cancel scope of ours
+    around the call: cancelling a grpc.aio call from outside was seen to end the whole task group that held it
+    (the agent returned at the first freeze of the service).
+    """
+    try:
+        return await call
+    except Exception:  # the link failed, the deadline passed or the service refused: not answered
+        return UNANSWERED
+
+
 class Holder:
     """One front's hold on one task: `run` campaigns and renews for as long as it is not cancelled."""
 
@@ -75,17 +88,8 @@
         self.asked = 0  # requests sent to the service, for the measure of its load
 
     async def _ask(self, call: Awaitable[Any]) -> Any:
-        """One request; `UNANSWERED` where it failed or passed the client's deadline.
-
-        The deadline is the gRPC call's own (the client's `timeout`, see `connect`), never a cancel scope of
-        ours around the call: cancelling a grpc.aio call from outside was seen to end the whole task group
-        that held it (the agent returned at the first freeze of the service).
-        """
         self.asked += 1
-        try:
-            return await call
-        except Exception:  # the link failed, the deadline passed or the service refused: not answered
-            return UNANSWERED
+        return await answered(call)
 
     def _stamp(self) -> tuple[float, int | None]:
         """When a request is sent, and how often the clock had gone back by then; None: the task is lost."""
@@ -152,15 +156,22 @@
         front created (its create revision is the token), however late the request arrives. The key goes with
         the owner's lease. Returns whether it was written; unanswered counts as not, and may have been.
         """
+        put = self.client.transactions.put
+        return self.lease is not None and await self._write([put(key, value, self.lease)])
+
+    async def write(self, keys: list[tuple[bytes, bytes | None]]) -> bool:
+        """Write keys, or remove those with None, as `put` does and all at once; they outlive this owner."""
+        tx = self.client.transactions
+        return await self._write([tx.delete(k) if v is None else tx.put(k, v) for k, v in keys])
+
+    async def _write(self, operations: list[Any]) -> bool:
         owner, tx = self.owner, self.client.transactions
         if self.lease is None or not owner.may_act(self.clock()):
             return False
         mine = key_of(owner.task)
         answer = await self._ask(
             self.client.transaction(
-                compare=[tx.create(mine) == owner.token],
-                success=[tx.put(key, value, self.lease)],
-                failure=[tx.get(mine)],
+                compare=[tx.create(mine) == owner.token], success=operations, failure=[tx.get(mine)]
             )
         )
         if answer is UNANSWERED:
--- a/cometseam/coordination/party.py
+++ b/cometseam/coordination/party.py
@@ -18,8 +18,10 @@
 from cometseam.coordination.crew import Crew
 from cometseam.coordination.elect import Clock, Holder, Place, boot_time, connect
 from cometseam.coordination.follow import Follower
+from cometseam.coordination.sharing import Granted, Sharer, Wishes
 from cometseam.counters import COUNTERS
 from cometseam.events import say
+from cometseam.limits import Sharing
 from cometseam.operator.fleet import FleetTerms
 from cometseam.ownership import State, Tail, Told, Turn
 from cometseam.transport.changelog import ChangeLog
@@ -36,6 +38,7 @@
 LOOK = 0.02  # s between two looks at what is due
 
 Judged = Callable[[Heard], None]
+Shares = tuple[dict[str, Sharing], set[str], Wishes, Granted]  # all groups, its own, wishes, parts
 
 
 def write_verdict(token: int, ruling: Ruling, age: float) -> bytes:
@@ -65,7 +68,7 @@
 
     def __init__(
         self, terms: FleetTerms, name: str, clock: Clock, addresses: Callable[[], dict[str, tuple[str, int]]],
-        judged: Judged, log: ChangeLog | None = None,
+        judged: Judged, log: ChangeLog | None = None, shares: Shares | None = None,
     ) -> None:  # fmt: skip
         self.terms, self.clock, self.addresses, self.judged = terms, clock, addresses, judged
         longest = max(terms.tasks.values(), key=lambda each: each.round_trip_ms)
@@ -74,6 +77,9 @@
         self.prober = Prober(terms.probing)
         self.board = Board(terms.probing.lasts)
         self.follower = Follower(self.client, VERDICTS, terms.refresh_ms, clock, self._told)
+        self.sharer: Sharer | None = None
+        if shares is not None and terms.limits is not None:
+            self.sharer = Sharer(self.client, self.crew, name, clock, *shares)
         self.log = log if terms.log_bound_ms is not None else None
         self.tail, self.turn = Tail(), Turn(terms.log_bound_ms or 0.0)
         self.log_follower = Follower(self.client, LOG, terms.refresh_ms, clock, self._told_of_log)
@@ -91,6 +97,8 @@
                 if self.log is not None:
                     tasks.start_soon(self.log_follower.run)
                     tasks.start_soon(self._say_log, self.log)
+                if self.sharer is not None:
+                    tasks.start_soon(self.sharer.run)
                 await self._work(tasks)
         finally:
             COUNTERS.add("fleet.ended")
--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -288,7 +288,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Judged:
-    """A verdict of the fleet's prober on a cache: `bad` for `rest` ms from now, evidence begun `age` ms ago.
+    """The fleet's prober's verdict on a cache: `bad` for `rest` ms from now, evidence begun `age` ms ago.
 
     Or the verdict has been taken back or has ended: `bad` is False.
     """
@@ -299,7 +299,20 @@
     age: float
 
 
-Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged | Plans | Eased | Judged
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """This front's part (0 to 1) of what a cold cache bears from all fronts, for `lasts` ms from now.
+
+    Past that it goes by the lesser of this and an equal part, until it is told anew.
+    """
+
+    cache: int
+    part: float
+    lasts: float
+
+
+Fleet = Judged | Granted  # what the fleet tells
+Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged | Plans | Eased | Fleet
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/cometseam/limits/coordinator.py
@@ -0,0 +1,207 @@
+"""The coordinator's decisions: how a limit is shared out among the fronts that ask for it. Without I/O.
+
+Held by one front at a time (the task `limits`, under its fencing token). At every share-out it knows of each
+front the most that it may still be using: the grants written for it that may be in force, and the floor
+where it may have fallen back to that. What it gives out anew never lifts the sum of those above the limit:
+
+    for each front:  new share <= limit - sum over all others of the most that they may be using
+
+A grant counts until it surely ended (`counted` ms after it was written, by this clock), or until the front
+said that it goes by a newer one, and for `window` ms more, in which what it let through still weighs. Fronts
+that are not heard of keep the floor free for themselves, up to `expected` fronts.
+
+A new coordinator reads the grants that stand on the service. Its fence (each grant is written in one
+transaction with the check of the task's owner) makes those all that there can be; when they were written it
+does not know, so it counts each from now.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cometseam.limits.fair import fair
+from cometseam.limits.terms import Sharing
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A front's ask: its number, the newest grant that it goes by (token, number), its wishes by limit."""
+
+    number: int
+    on: tuple[int, int]
+    wishes: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """What a front may use: by token and number of its coordinator, in answer to one of its asks.
+
+    `earlier`: the most that grants before it gave, where the front may not have taken this one yet. A grant
+    takes the place of the one before on the service, so a new coordinator would else not know of that.
+    """
+
+    token: int
+    number: int
+    ask: int
+    shares: dict[str, float]
+    earlier: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Written:
+    """A grant that may be in force."""
+
+    order: tuple[int, int]
+    shares: dict[str, float]
+    at: float | None  # when it was written; None where an earlier coordinator did so
+    # When the grant was written that the ask which this one answers named as taken: it was sent after that.
+    asked_after: float | None
+    ends: float  # when it surely ended
+    until: float  # and when what it let through counts no more
+    lean: float  # and the same of the lean time after it, of a front that took it last and none since
+
+
+@dataclass(slots=True)
+class Member:
+    """A front that was heard of; it leaves when it is silent and nothing written for it counts."""
+
+    ask: Ask | None = None
+    heard_at: float = 0.0
+    written: list[Written] = field(default_factory=list)
+    asked_after: float | None = None  # of the newest grant that it surely took; None: not known
+    floor_until: float = 0.0  # until when what it sent by the floor may still weigh
+
+
+class Coordinator:
+    """Shares limits out; `token` is the fencing token under which its grants are written."""
+
+    def __init__(self, terms: Sharing, token: int) -> None:
+        terms.check()
+        self.terms, self.token = terms, token
+        self.members: dict[str, Member] = {}
+        self._number = 0
+        self._forgotten: list[str] = []  # since `forgotten` was last asked
+
+    def forgotten(self) -> list[str]:
+        """Return the fronts that left since the last call: what was written for them may be removed."""
+        fronts, self._forgotten = self._forgotten, []
+        return fronts
+
+    def found(self, front: str, grant: Grant, now: float) -> None:
+        """An earlier coordinator's grant stands on the service: in force perhaps, none knows since when."""
+        ends = now + self.terms.counted
+        order = (grant.token, grant.number)
+        until = ends + self.terms.window
+        written = Written(order, dict(grant.shares), None, None, ends, until, until + self.terms.lean)
+        # What came before it counts as one that a front which has taken this one goes by no more.
+        before = Written((order[0], order[1] - 1), dict(grant.earlier), None, None, ends, until, written.lean)
+        self.members.setdefault(front, Member(heard_at=now)).written += [before, written]
+
+    def heard(self, front: str, ask: Ask, now: float) -> None:
+        """A front's ask came in; one that is older than another heard already says nothing."""
+        member = self.members.setdefault(front, Member())
+        if member.ask is not None and ask.number <= member.ask.number and ask.on <= member.ask.on:
+            return
+        if self._falls(member, now):
+            member.floor_until = now + self.terms.window
+        member.ask, member.heard_at = ask, now
+        for one in member.written:
+            if one.order == ask.on:
+                member.asked_after = one.asked_after
+            elif one.order < ask.on:  # it goes by a newer one: this one ended, at the latest now
+                one.ends = min(one.ends, now)
+                one.until = min(one.until, now + self.terms.window)
+                one.lean = min(one.lean, now + self.terms.window)
+
+    def left(self, front: str) -> None:
+        """A front's ask is gone from the service: it ended, or is cut off. What was written still counts."""
+        if front in self.members:
+            self.members[front].ask = None
+
+    def _forget(self, now: float) -> None:
+        for front, member in list(self.members.items()):
+            member.written = [one for one in member.written if one.lean > now]
+            if member.ask is not None and now - member.heard_at > self.terms.counted:
+                member.ask = None  # silent: what it asked for counts no more
+            if member.ask is None and not member.written:
+                del self.members[front]
+                self._forgotten.append(front)
+
+    def _falls(self, member: Member, now: float) -> bool:
+        """Tell whether a front may go by the floor before a grant written now has surely ended.
+
+        It falls back `held` and `lean` after it sent the ask that its newest grant answers. When that was is
+        known by its own clock alone; but the ask named a grant that it had taken before, so it was sent after
+        that one was written. Where no such chain is known, the front may be at the floor now.
+        """
+        terms = self.terms
+        if member.asked_after is None:
+            return True
+        return now + terms.counted + terms.window > member.asked_after + terms.safe
+
+    def most(self, member: Member, name: str, now: float) -> float:
+        """The most of a limit that a front may be using, or come to use by itself while a grant written now
+        holds."""
+        floor, shares = self.terms.floor, []
+        for one in member.written:
+            share = one.shares.get(name, floor)
+            # A front that took this one last, and none since, goes on with it lean: none knows which it took.
+            if now < one.until:
+                shares.append(share)
+            elif now < one.lean:
+                shares.append(min(share, floor))
+        if not shares or now < member.floor_until or self._falls(member, now):
+            shares.append(floor)
+        return max(shares)
+
+    def kept(self, name: str, now: float) -> float:
+        """The part of a limit that is spoken for: used, or kept free for fronts that are not heard of."""
+        unheard = max(self.terms.expected - len(self.members), 0)
+        return sum(self.most(m, name, now) for m in self.members.values()) + unheard * self.terms.floor
+
+    def share_out(self, now: float) -> dict[str, Grant]:
+        """Return the grants to write now, one for each front that asks; each counts from now on, written or
+        not (an answer that is lost leaves it unknown)."""
+        self._forget(now)
+        asking = {front: m for front, m in self.members.items() if m.ask is not None and m.ask.wishes}
+        names = sorted({name for member in asking.values() if member.ask for name in member.ask.wishes})
+        shares: dict[str, dict[str, float]] = {front: {} for front in asking}
+        for name in names:
+            for front, share in self._out(name, asking, now):
+                shares[front][name] = share
+        grants: dict[str, Grant] = {}
+        for front, member in asking.items():
+            assert member.ask is not None
+            self._number += 1
+            earlier = {
+                name: max(one.shares.get(name, self.terms.floor) for one in member.written)
+                for name in {name for one in member.written for name in one.shares}
+            }
+            grants[front] = Grant(self.token, self._number, member.ask.number, shares[front], earlier)
+            ends = now + self.terms.counted
+            order = (self.token, self._number)
+            until = ends + self.terms.window
+            lean = until + self.terms.lean
+            named = (one.at for one in member.written if one.order == member.ask.on)
+            member.written.append(Written(order, shares[front], now, next(named, None), ends, until, lean))
+        return grants
+
+    def _out(self, name: str, asking: dict[str, Member], now: float) -> Iterable[tuple[str, float]]:
+        """Share one limit out among the fronts that ask for it."""
+        floor = self.terms.floor
+        wishes = {f: m.ask.wishes[name] for f, m in asking.items() if m.ask and name in m.ask.wishes}
+        others = [m for f, m in self.members.items() if f not in wishes]
+        unheard = max(self.terms.expected - len(self.members), 0)
+        spoken = sum(self.most(m, name, now) for m in others) + unheard * floor
+        targets = fair(wishes, max(1.0 - spoken, 0.0))
+        uses = {front: self.most(asking[front], name, now) for front in wishes}
+        total = sum(uses.values()) + spoken
+        # First those that give something back: it is free once they have said so.
+        for front in sorted(wishes, key=lambda f: (targets[f] - uses[f], f)):
+            free = 1.0 - (total - uses[front])
+            own = [w.shares.get(name, floor) for w in asking[front].written if w.until > now]
+            current = min(own, default=floor)
+            # It may always go on with what it has, up to the floor: it was its own before anybody asked.
+            share = min(targets[front], max(free, min(current, floor)))
+            total += max(share, uses[front]) - uses[front]
+            uses[front] = max(share, uses[front])
+            yield front, share
--- /dev/null
+++ b/cometseam/limits/fair.py
@@ -0,0 +1,22 @@
+"""Fair shares: who gets what of a limit, by what each wishes for."""
+
+from collections.abc import Mapping
+
+
+def fair(wishes: Mapping[str, float], whole: float) -> dict[str, float]:
+    """Share `whole` out by max-min fairness: nobody gets more while somebody with less goes short.
+
+    Wishes that all fit are met, and what is left over is shared out equally on top of them, so that a front
+    whose demand grows need not wait for a grant. Returns a share for each name; their sum is `whole` (0 for
+    no names or nothing to share).
+    """
+    if not wishes or whole <= 0.0:
+        return dict.fromkeys(wishes, 0.0)
+    shares: dict[str, float] = {}
+    left, names = whole, sorted(wishes, key=lambda name: (wishes[name], name))
+    for place, name in enumerate(names):
+        equal = left / (len(names) - place)
+        shares[name] = min(max(wishes[name], 0.0), equal)
+        left -= shares[name]
+    spare = max(left, 0.0) / len(names)
+    return {name: shares[name] + spare for name in wishes}
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -12,24 +12,22 @@
 from typing import NamedTuple
 
 from cometseam.interface import (
-    Action, Eased, Effect, Ended, Error, Event, Group, HungUp, Judged, Lagged, Lifecycle, Listed, ListKind,
-    Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch, Workload,
+    Action, Eased, Effect, Ended, Error, Event, Granted, Group, HungUp, Judged, Lagged, Lifecycle, Listed,
+    ListKind, Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch,
+    Workload,
 )  # fmt: skip
 from cometseam.levels import Easing
 from cometseam.timing import Ledger, goes_on, times, wait
 
-TRACKED = 6000  # objects' parts whose requests are remembered
-GAPS = 6  # gaps remembered for each of them
+TRACKED, GAPS = 6000, 6  # objects' parts whose requests are remembered, and gaps for each of them
 GAP_FLOOR = 250.0  # ms; closer requests count as this far apart: a client's retries are no popularity
-VALUES = 600  # recent values that are cut in thirds
-RECUT = 50  # values between two cuts
+VALUES, RECUT = 600, 50  # recent values that are cut in thirds, and values between two cuts
 FIRST_CREDIT, CREDIT, MOST_CREDIT = 1.0, 0.2, 10.0  # at the start, for each good answer, at most
 LEAST_LIMIT, UNSIZED_LIMIT = 2.0, 8.0  # relays out at a cache: at least, and at first with sizes untold
 CUT, CUT_PAUSE, WEARS = 0.8, 500.0, 0.9  # left of a limit that is cut, ms between two; left of lateness
 ERRS, ERRING = 0.1, 0.3  # weight of one answer in a cache's share of errors, and from where that is illness
 COLD_PART = 0.75  # share of a cold cache's budget that is used: sizes and weights are not exact
-SPILL = 0.55  # share of the quoted time that a pull may take at a cache before it spills to the next
-CERTAIN = 0.65  # share of the quoted time that a pull may be expected to take and still be begun
+SPILL, CERTAIN = 0.55, 0.65  # shares of the quoted time: past it a pull spills on; within it is begun
 CROWD_LASTS = 3000.0  # ms, by the root of a zone's fronts, in which what was seen wears off to a third
 UNSURE = 0.6  # margin on a crowd, of what it adds, that very many fronts make needed
 IDLE = 0.5  # share of a limit up to which a pull may go on past its quoted time
@@ -87,10 +85,10 @@
 
     def __init__(self, told: Listed, weight: float, limit: Limit) -> None:
         self.told, self.weight, self.started = told, weight, told.ready_at
-        self.load, self.credit = limit, FIRST_CREDIT
+        self.load, self.credit, self.strikes = limit, FIRST_CREDIT, 0
         self.answered = self.sick_until = 0.0
         self.loss = self.errs = 0.0  # share of what it kept that looks find gone, and of errors, lately
-        self.strikes = 0
+        self.granted, self.barred = (float("inf"), 0.0), 0  # the fleet's grant, its end; sends barred
         self.spent: deque[list[float]] = deque()  # [time, work] sent; what is older than a window leaves
 
 
@@ -194,6 +192,9 @@
                 # The fleet's word; an answer that this front got since the evidence began outweighs it.
                 if not event.bad or server.answered < now - event.age:
                     server.sick_until, server.strikes = now + event.rest, server.strikes or int(event.bad)
+            case Granted() if event.cache in self.servers:
+                # Never 0: a budget of 0 stands for a warm cache, which bears all.
+                self.servers[event.cache].granted = (max(event.part, 1e-9), now + event.lasts)
             case HungUp() if event.id in self.held:
                 held = self.held[event.id]
                 held.open = False
@@ -244,12 +245,11 @@
             self.servers[entry.cache] = known
             return
         limit = weight if self.settings.sized else UNSIZED_LIMIT
-        fresh = Server(entry, weight, Limit(limit / self._sharing(entry), self.lasts))
-        if known:  # what reached a restarted cache before its start was told counts against its budget
-            fresh.spent = known.spent
+        fresh = Server(entry, weight, Limit(limit / self.sharing(entry), self.lasts))
+        fresh.spent = known.spent if known else fresh.spent  # what it got before its start was told counts
         self.servers[entry.cache] = fresh
 
-    def _sharing(self, entry: Listed) -> int:
+    def sharing(self, entry: Listed) -> int:
         """Tell how many fronts send to it."""
         s = self.settings
         here = entry.zone == s.zone and entry.kind not in (s.parent_kind, s.origin_kind)
@@ -333,9 +333,8 @@
         if held.lacks in well:
             yield from self._fills(held, held.lacks)
             # Before it is shed, a neighbour that it spilled to earlier may hold it: a look costs little.
-            for edge in well:
-                if (edge, False) not in held.known and self._in_time(held, edge.load):
-                    yield Way(edge, edge)
+            unknown = (e for e in well if (e, False) not in held.known and self._in_time(held, e.load))
+            yield from (Way(e, e) for e in unknown)
             return
         # A hot object, or a cache that is slow, must not jam one link while others have room: a cache that
         # would take most of the quoted time passes the pull on in hash order, and takes it back later.
@@ -349,7 +348,7 @@
 
     def _at(self, held: Held, edge: Server) -> Iterator[Way]:
         # A look tells what the cache holds, so which pulls are fills. A cold cache is not asked twice.
-        if not held.is_write and not self._cold(edge):
+        if not held.is_write and not self.cold(edge):
             yield Way(edge, edge)
         yield from self._fills(held, edge)
 
@@ -394,12 +393,9 @@
 
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
-        ordered: list[Server] = []
-        if not held.is_write:
-            for group in self.parents:
-                ordered += sorted(group, key=lambda parent: self._draw(held.wanted, parent), reverse=True)
-        if self.origin:
-            ordered.append(self.origin)
+        groups = [] if held.is_write else self.parents
+        ordered = [p for group in groups for p in sorted(group, key=lambda p: -self._draw(held.wanted, p))]
+        ordered += [self.origin] if self.origin else []
         return sorted(ordered, key=lambda e: 2 * (not self._well(e)) + (not self._in_time(held, e.load)))
 
     def _draw(self, wanted: int, server: Server) -> float:
@@ -497,7 +493,7 @@
         same_cell = workload.group is not Group.CELL or target.told.cell == first.cell
         return same_zone and same_cell and self.now < at + workload.window
 
-    def _cold(self, server: Server) -> float:
+    def cold(self, server: Server) -> float:
         """Tell the work that a cold server may get in a window that began before now; 0 where it is warm."""
         s, told, age = self.settings, server.told, self.now - server.started
         cold_from, warm_after, multiple = s.cold_from, s.warm_after, s.fall_multiple
@@ -506,14 +502,18 @@
         if server.started <= 0 or age >= warm_after or told.kind == s.origin_kind:
             return 0.0
         share = cold_from + (1.0 - cold_from) * max(age - s.fall_time, 0.0) / warm_after
-        return COLD_PART * multiple * share * server.weight * s.fall_time / self._sharing(told)
+        whole, (granted, until) = COLD_PART * multiple * share * server.weight * s.fall_time, server.granted
+        equal = whole / self.sharing(told)
+        return whole * granted if self.now < until else min(whole * granted, equal)  # the rest may be lent
 
     def _fits(self, server: Server, work: float) -> bool:
         """Tell whether a cold server's budget holds this much more."""
         while server.spent and server.spent[0][0] <= self.now - self.settings.fall_time:
             server.spent.popleft()
-        budget = self._cold(server)
-        return not budget or sum(entry[1] for entry in server.spent) + work <= budget
+        budget = self.cold(server)
+        fits = not budget or sum(entry[1] for entry in server.spent) + work <= budget
+        server.barred += not fits
+        return fits
 
     def _answer(self, held: Held) -> None:
         """Give the final answer: shed where trying again is harmless, else errored."""
@@ -557,7 +557,7 @@
         target, source, outcome, remark = held.way.target, held.way.source, event.outcome, event.remark
         if self.settings.link_report < len(event.load) and target in self.near:
             self.link_full = event.load[self.settings.link_report]
-            self.fills.see((1.0 - 1.0 / self._sharing(target.told)) * self.link_full, self.now)  # others'
+            self.fills.see((1.0 - 1.0 / self.sharing(target.told)) * self.link_full, self.now)  # others'
         looked = source is target or held.way.only_held
         looked = looked and outcome is Outcome.MISS and remark not in SOURCE_AT_FAULT
         if looked:
--- a/cometseam/operator/fleet.py
+++ b/cometseam/operator/fleet.py
@@ -9,12 +9,14 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
+from cometseam.limits import Refused as NotShared
+from cometseam.limits import Sharing
 from cometseam.operator.schema import FleetForm
 from cometseam.ownership import Refused, Terms
 from cometseam.verdicts import Probing
 
 Path = tuple[str | int, ...]
-PROBE, LIST = "probe", "list"
+PROBE, LIST, LIMITS = "probe", "list", "limits"
 TASK = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}")
 SECOND = 1000.0
 
@@ -28,6 +30,8 @@
     tasks: dict[str, Terms]
     probing: Probing
     log_bound_ms: float | None = None  # None: each front reads the change log itself
+    limits: tuple[float, float] | None = None  # refresh and lasts of grants; None: nothing is shared out
+    drift: float = 0.01
 
 
 def check(form: FleetForm | None, complain: Callable[[Path, str], None]) -> dict[str, Any] | None:
@@ -59,15 +63,34 @@
     probing = _probing(form, tasks, complain)
     if form.log is not None and LIST not in form.tasks:
         complain(("fleet", "log"), f"fleet.tasks has no {LIST!r}: nobody would read the log for the others")
+    _limits(form, complain)
     return {
         "service": form.service,
         "refresh_ms": form.refresh,
         "tasks": {name: asdict(terms) for name, terms in tasks.items()},
         "probing": asdict(probing),
         "log_bound_ms": None if form.log is None else form.log.bound,
+        "limits": None if form.limits is None else [form.limits.refresh, form.limits.lasts],
+        "drift": form.drift,
     }
 
 
+def _limits(form: FleetForm, complain: Callable[[Path, str], None]) -> None:
+    told = form.limits
+    if told is None:
+        return
+    path: Path = ("fleet", "limits")
+    if LIMITS not in form.tasks:
+        complain(path, f"fleet.tasks has no {LIMITS!r}: nobody would share anything out")
+    if told.refresh < form.round_trip:
+        complain((*path, "refresh"), f"{told.refresh:g} ms is below a round trip, {form.round_trip:g} ms")
+    try:
+        Sharing(1, told.lasts, told.refresh, 0.0, form.drift).check()
+    except NotShared as refused:
+        term, _, reason = str(refused).partition(": ")
+        complain((*path, term), reason)
+
+
 def _probing(form: FleetForm, tasks: dict[str, Terms], complain: Callable[[Path, str], None]) -> Probing:
     told = form.probing
     path: Path = ("fleet", "probing")
@@ -105,4 +128,6 @@
         {name: Terms(**terms) for name, terms in values["tasks"].items()},
         Probing(**values["probing"]),
         values["log_bound_ms"],
+        tuple(values["limits"]) if values["limits"] else None,
+        values["drift"],
     )
--- a/cometseam/operator/schema.py
+++ b/cometseam/operator/schema.py
@@ -365,6 +365,13 @@
     bound: Annotated[Duration, Field(ge=2500.0)] = 4000.0
 
 
+class LimitsForm(Strict):
+    """What cold caches bear is shared out among the fronts by the holder of the task `limits`."""
+
+    refresh: Annotated[Duration, Field(ge=50.0)] = 500.0
+    lasts: Annotated[Duration, Field(ge=200.0)] = 3000.0
+
+
 class FleetForm(Strict):
     """The front's part in the fleet: a coordination service, and the tasks held on it."""
 
@@ -375,6 +382,7 @@
     tasks: Annotated[dict[str, TaskForm], Field(max_length=1024)]
     probing: ProbingForm | None = None
     log: LogForm | None = None
+    limits: LimitsForm | None = None
 
 
 class FrontForm(Strict):
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -100,7 +100,16 @@
     def judged(heard: Any) -> None:
         router.judge(heard.cache, heard.bad, heard.rest, heard.age)
 
-    return Party(read(compiled.fleet), config.name, boot_time, router.addresses, judged, log).run
+    terms = read(compiled.fleet)
+    shares = None
+    if terms.limits is not None:
+        from cometseam.routing.shares import PARENTS, groups
+
+        zones, settings = config.names.zones, config.settings
+        found = groups(settings, zones, *terms.limits, terms.drift)
+        mine = {PARENTS, zones[settings.zone]} & found.keys()
+        shares = (found, mine, router.wishes, router.grant)
+    return Party(terms, config.name, boot_time, router.addresses, judged, log, shares).run
 
 
 def _print(why: str, router: Router) -> None:
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -94,7 +94,16 @@
     age: float
 
 
-Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan | Judge
+@dataclass(slots=True)
+class Grant:
+    """This front's part of what a cold cache bears; see `interface.Granted`."""
+
+    cache: str
+    part: float
+    lasts: float
+
+
+Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan | Judge | Grant
 
 
 class Router:
@@ -162,6 +171,22 @@
         """Take in a verdict of the fleet on a cache; one on a cache that is not listed is passed over."""
         self._mailbox.put_urgent(Judge(cache, bad, rest, age))  # as many as there are caches, a few a minute
 
+    def grant(self, cache: str, part: float, lasts: float) -> None:
+        """Take in this front's part of what a cold cache bears from all fronts."""
+        self._mailbox.put_urgent(Grant(cache, part, lasts))  # as many as there are cold caches, each refresh
+
+    def wishes(self) -> dict[str, dict[str, float]]:
+        """Return which part of what each cold cache bears this front wishes for, by group of fronts."""
+        from cometseam.routing import shares  # only where limits are shared
+
+        found: dict[str, dict[str, float]] = {}
+        for cache, wish in shares.wishes(self._front, self._around.clock.now()).items():
+            line = self._roster.get(cache)
+            if line is not None:
+                group = shares.group(self._front, cache, self._names.zones)
+                found.setdefault(group, {})[line.name] = wish
+        return found
+
     def addresses(self) -> dict[str, tuple[str, int]]:
         """Return where the listed caches of this list are, by name: those that may be sent to."""
         return self._roster.addresses()
@@ -231,6 +256,10 @@
                     COUNTERS.add("fleet.verdict.unlisted")
                     return
                 self._decide(i.Judged(number, message.bad, message.rest, message.age))
+            case Grant():
+                number = self._roster.number(message.cache)
+                if number is not None:
+                    self._decide(i.Granted(number, message.part, message.lasts))
             case Replan():  # between two events: no pull sees half of the old routes and half of the new
                 self._table = message.compiled.table
                 self._decide(message.compiled.plans)
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -383,12 +383,15 @@
 async def world(
     folder: Path, *more: str, operator: Path | None = None, log: str = "text", listens: bytes = b"listens",
     patience: float = PATIENCE, at: dict[str, str] | None = None, command: list[str] | None = None,
-    environment: dict[str, str] | None = None, name: str = "front-1", **limits: int,
+    environment: dict[str, str] | None = None, name: str = "front-1",
+    prepare: Callable[[World], None] | None = None, **limits: int,
 ) -> AsyncIterator[World]:  # fmt: skip
     """The program among stand-ins for the sample's caches, and for more like its first."""
     here = World()
     here.config["limits"].update(limits)
     here.config["name"] = name
+    if prepare is not None:
+        prepare(here)
     here.listens = listens
     here.command = command or here.command
     here.environment = {"COMETSEAM_LOG_FORMAT": log, **(environment or {})}
--- a/tests/standins/fronts.py
+++ b/tests/standins/fronts.py
@@ -23,7 +23,10 @@
   tasks: { probe: { ttl: '1s', margin: '250ms', renew: '200ms' },
            list: { ttl: '1s', margin: '250ms', renew: '200ms' } }, log: { bound: '2500ms' },
   probing: { interval: '100ms', within: '60ms', fails: 2, passes: 2, lasts: '%dms' } } }"""
+LIMITS = """limits: { refresh: '200ms', lasts: '1s' },
+  tasks+: { limits: { ttl: '1s', margin: '250ms', renew: '200ms' } }"""
 STATE = rb"fleet: %s: (\w+), token (\d+): "
+WINDOW = 3.0  # s over which what a cold cache gets counts: the sample's overloadFor
 COPY = "tag=4be0c1927d55a6f3,minted=1,why=cached"
 
 
@@ -31,6 +34,19 @@
     return 0.002, "DONE", f"{COPY},rep=util:0.5;x1:0.5", b"x"
 
 
+def cold_limit(age: float) -> float:
+    """How many relays of 250 ms a cold cache of the sample bears in a window at an age (s); 0: it is warm."""
+    if age >= 14.0:
+        return 0.0
+    share = 0.2 + 0.8 * max(age - WINDOW, 0.0) / 14.0
+    return 0.75 * 2.5 * share * 8.0 * WINDOW * 1000.0 / 250.0
+
+
+def over_limit(here: "Fronts") -> float:
+    """The most that cache-2 got in a window, by its limit; one relay is let off for times read apart."""
+    return max((share - 1.0 / cold_limit(at) for at, share in here.used()), default=0.0)
+
+
 @dataclass
 class Fronts:
     """Fronts by place, the caches they share, the service."""
@@ -42,6 +58,19 @@
     worlds: list[World] = field(default_factory=list)
     links: list[Proxy] = field(default_factory=list)
     stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+    cold_at: float = 0.0  # s, monotonic: when cache-2 started anew
+
+    def used(self) -> list[tuple[float, float]]:
+        """At each relay to cache-2 since it is cold: s since then, relays in the last window by the limit."""
+        times = sorted(at for relays in self.caches.relays.values() for at, cache in relays if cache == 1)
+        times = [at - self.cold_at for at in times if at >= self.cold_at]
+        found = []
+        for place, at in enumerate(times):
+            limit = cold_limit(at)
+            if limit:
+                inside = sum(at - WINDOW < earlier for earlier in times[: place + 1])
+                found.append((at, inside / limit))
+        return found
 
     def owner(self, task: str) -> int | None:
         """The place of the front that holds a task by its own log; None where none does."""
@@ -61,8 +90,15 @@
 
 
 @asynccontextmanager
-async def fronts(count: int, names: tuple[str, ...], lasts_ms: int = 2000) -> AsyncIterator[Fronts]:
-    """`count` fronts on the same caches: `cache-1` and `names`."""
+async def fronts(
+    count: int, names: tuple[str, ...], lasts_ms: int = 2000, limits: bool = False, expected: int = 1
+) -> AsyncIterator[Fronts]:
+    """`count` fronts on the same caches, `cache-1` and `names`; each is told of `expected` fronts."""
+
+    def prepare(front: World) -> None:
+        told = front.config["settings"]
+        told["balancers"], told["familyInfo"]["instancesByZone"] = expected, [0, 0, expected]
+
     with tempfile.TemporaryDirectory() as folder, Caches(1 + len(names), well) as caches:
         wal = str(Path(folder) / "etcd.wal")
         etcd, port = await start_etcd(wal)
@@ -78,8 +114,13 @@
                     place.mkdir()
                     file = place / "operator.jsonnet"
                     file.write_text(FILE % (link.port, lasts_ms))
+                    if limits:
+                        more = file.with_name("limits.jsonnet")
+                        more.write_text("(import 'operator.jsonnet') + { fleet+: { " + LIMITS + " } }")
+                        file = more
                     front = await here.stack.enter_async_context(
-                        world(place, *names, operator=file, at=at, patience=90.0, name=f"front-{number}")
+                        world(place, *names, operator=file, at=at, patience=90.0, name=f"front-{number}",
+                              prepare=prepare)
                     )
                     for cache in front.caches.values():  # the parent and the origin of its own
                         cache.alive = True
--- /dev/null
+++ b/tests/test_limits_fronts.py
@@ -0,0 +1,140 @@
+"""Real fronts share out what a cold cache bears: a stand-in counts what it gets from all of them together,
+with faults between the processes and the service.
+
+The limit is by the sample's settings: a cold cache's work in any window of 3 s. With pulls of one size it is
+a number of relays, the same for every front; the stand-in counts relays by its own clock.
+"""
+
+import os
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+import pytest
+
+from tests.drive import order
+from tests.standins.fronts import Fronts, cold_limit, fronts, over_limit
+
+pytestmark = pytest.mark.anyio
+NAMES = ("cache-2", "cache-3")
+FRONTS = 3
+Fault = Callable[[Fronts], Coroutine[Any, Any, None]]
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def ask(here: Fronts, place: int, rate: Callable[[float], float], length: float) -> None:
+    """Have one client ask through a front at a rate that changes with time, until the front ends."""
+    began, number = time.monotonic(), 0
+    try:
+        caller = await here.worlds[place].call()
+        while (passed := time.monotonic() - began) < length:
+            wanted = rate(passed)
+            if not wanted:
+                await anyio.sleep(0.05)
+                continue
+            number += 1
+            txn = f"{place + 1:08x}{number:08x}"
+            item = f"{(place * 7919 + number) * 2654435761 % (1 << 64):016x}"
+            await caller.send(order(number, txn=txn, item=item, ram="875"))  # 250 ms of sending: the mean
+            await caller.next()
+            await anyio.sleep(max(1.0 / wanted - 0.004, 0.0))
+    except (OSError, anyio.BrokenResourceError, anyio.IncompleteRead, anyio.EndOfStream):
+        return  # the front was killed: that is the test's doing
+
+
+async def play(limits: bool, rate: Callable[[int, float], float], length: float, fault: Fault) -> Fronts:
+    """Start fronts, have cache-2 start anew (cold), ask, throw the fault; the caches keep the record."""
+    async with fronts(FRONTS, NAMES, limits=limits, expected=FRONTS) as here:
+        if limits:
+            await here.probing(task="limits")
+        here.cold_at = time.monotonic()
+        for front in here.worlds:
+            anew = front.line("cache-2", since_ms=time.time() * 1000.0)
+            front.tell(fleet={"index": 2, "snapshot": False, "endpoints": [anew]})
+        async with anyio.create_task_group() as tasks:
+            for place in range(FRONTS):
+                tasks.start_soon(ask, here, place, lambda at, place=place: rate(place, at), length)
+            tasks.start_soon(fault, here)
+        return here
+
+
+def one_hot(place: int, at: float) -> float:
+    return 300.0 if place == 0 else 2.0
+
+
+def moving(place: int, at: float) -> float:
+    """Demand moves to another front every second."""
+    return 150.0 if int(at) % FRONTS == place else 0.0
+
+
+async def nothing(here: Fronts) -> None:
+    return
+
+
+async def coordinator_killed(here: Fronts) -> None:
+    await anyio.sleep(2.5)
+    here.worlds[await here.probing(task="limits")].process.kill()
+
+
+async def coordinator_paused(here: Fronts) -> None:
+    """Past its lease and its grants; it wakes while another shares out, with its old ones still in hand."""
+    await anyio.sleep(2.5)
+    place = await here.probing(task="limits")
+    os.kill(here.worlds[place].process.pid, signal.SIGSTOP)
+    await anyio.sleep(2.5)
+    os.kill(here.worlds[place].process.pid, signal.SIGCONT)
+
+
+async def hot_link_cut(here: Fronts) -> None:
+    await anyio.sleep(2.5)
+    await here.links[0].set_cut()
+    await anyio.sleep(3.0)
+    here.links[0].cut = False
+
+
+async def all_links_cut(here: Fronts) -> None:
+    """For three times what a grant lasts."""
+    await anyio.sleep(2.5)
+    for link in here.links:
+        await link.set_cut()
+    await anyio.sleep(3.0)
+    for link in here.links:
+        link.cut = False
+
+
+async def service_frozen(here: Fronts) -> None:
+    await anyio.sleep(2.5)
+    os.kill(here.etcd.pid, signal.SIGSTOP)
+    await anyio.sleep(2.0)
+    os.kill(here.etcd.pid, signal.SIGCONT)
+
+
+async def test_a_hot_front_gets_what_the_others_leave_and_the_cold_cache_no_more() -> None:
+    here = await play(True, one_hot, 8.0, nothing)
+    assert over_limit(here) <= 1.0
+    used = [share for at, share in here.used() if at > 4.0]
+    assert max(used) > 0.6  # with an equal part for each front: a third and what the others send
+
+
+async def test_without_sharing_a_hot_front_has_an_equal_part_alone() -> None:
+    here = await play(False, one_hot, 8.0, nothing)
+    assert over_limit(here) <= 1.0 and max(share for at, share in here.used() if at > 4.0) < 0.5
+
+
+@pytest.mark.parametrize(
+    "fault", [coordinator_killed, coordinator_paused, hot_link_cut, all_links_cut, service_frozen]
+)
+async def test_the_cold_cache_gets_no_more_than_its_limit_under(fault: Fault) -> None:
+    here = await play(True, moving, 9.0, fault)
+    assert over_limit(here) <= 1.0, here.used()
+
+
+def test_the_limit_in_relays_is_what_the_settings_say() -> None:
+    """0.75 of 2.5 times a fifth of 8 streams for 3 s, in pulls of 250 ms; a warm cache has none."""
+    assert cold_limit(0.0) == cold_limit(2.9) == 36.0 and cold_limit(6.0) > 60.0 and cold_limit(14.1) == 0.0
