--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,94 @@
+"""Limits and verdicts among real fronts on loopback, measured: not run by CI; one command repeats it.
+
+For each fault of `tests/test_limits_fronts.py`, and for none: what a cold stand-in cache gets from three
+real fronts in any window of 3 s, as a part of its limit; with the limit shared out and in equal parts, in
+turns. And verdicts: how long after the prober ruled each other front heard it, by the fronts' own logs.
+
+    python -m bench.limits --rounds 2 --rulings 12
+"""
+
+import argparse
+import re
+from datetime import datetime
+from statistics import fmean, median
+
+import anyio
+
+from tests import test_limits_fronts as played
+from tests.standins.fronts import fronts, over_limit
+
+FAULTS = {
+    "none, one front hot": (played.one_hot, played.nothing),
+    "demand moves each second": (played.moving, played.nothing),
+    "coordinator killed": (played.moving, played.coordinator_killed),
+    "coordinator paused, wakes late": (played.moving, played.coordinator_paused),
+    "the hot front's link cut": (played.one_hot, played.hot_link_cut),
+    "all links cut for 3 grants": (played.moving, played.all_links_cut),
+    "service frozen 2 s": (played.moving, played.service_frozen),
+}
+RULED = re.compile(
+    r"(\d\d:\d\d:\d\d\.\d{3}) \S+ fleet: (\S+) (?:is ruled|heard) (\w+) \(token (\d+), ruling (\d+)\)"
+)
+
+
+async def limits(rounds: int) -> None:
+    """Play each fault in both ways, in turns."""
+    print("fault | way | most in a window, by the limit | used after 4 s, mean")
+    for name, (rate, fault) in FAULTS.items():
+        for _ in range(rounds):
+            for way in ("shared", "equal parts"):
+                here = await played.play(way == "shared", rate, 10.0, fault)
+                used = [share for at, share in here.used() if at > 4.0]
+                print(f"{name} | {way} | {over_limit(here):.2f} | {fmean(used or [0.0]):.2f}", flush=True)
+
+
+def rulings(text: str, word: str) -> dict[tuple[str, str, str], float]:
+    """Read when (s of the day) each ruling of a log was made, or heard."""
+    found: dict[tuple[str, str, str], float] = {}
+    for line in text.splitlines():
+        match = RULED.search(line)
+        if match and word in line:
+            at = datetime.strptime(match[1], "%H:%M:%S.%f")
+            seconds = at.hour * 3600.0 + at.minute * 60.0 + at.second + at.microsecond / 1e6
+            found.setdefault((match[2], match[4], match[5]), seconds)
+    return found
+
+
+async def verdicts(count: int) -> None:
+    """Have a cache fall silent and come back, and read how late each other front heard each ruling."""
+    late: list[float] = []
+    async with fronts(4, ("cache-2", "cache-3")) as here:
+        prober = await here.probing()
+
+        def said() -> int:
+            return here.worlds[prober].output.count(b"is ruled")
+
+        with anyio.move_on_after(60):
+            while said() < count:
+                here.caches.silent.symmetric_difference_update({1})
+                before = said()
+                while said() == before:
+                    await anyio.sleep(0.05)
+        await anyio.sleep(0.5)
+        made = rulings(here.worlds[prober].output.decode(), "ruled")
+        for place, front in enumerate(here.worlds):
+            if place != prober:
+                heard = rulings(front.output.decode(), "heard")
+                late += [heard[key] - at for key, at in made.items() if key in heard]
+    late.sort()
+    ninetyninth = late[min(int(0.99 * len(late)), len(late) - 1)]
+    print(f"verdicts: {len(late)} heard, median {1000 * median(late):.0f} ms after the prober", end=", ")
+    print(f"99th {1000 * ninetyninth:.0f} ms, most {1000 * late[-1]:.0f} ms")
+
+
+async def main(words: argparse.Namespace) -> None:
+    """Measure both."""
+    await verdicts(words.rulings)
+    await limits(words.rounds)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=2)
+    parser.add_argument("--rulings", type=int, default=12)
+    anyio.run(main, parser.parse_args(), backend="asyncio")
--- a/cometseam/coordination/crew.py
+++ b/cometseam/coordination/crew.py
@@ -12,7 +12,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from cometseam.coordination.elect import Clock, Holder, key_of
+from cometseam.coordination.elect import Clock, Holder, Spare, key_of
 from cometseam.coordination.follow import Follower
 from cometseam.ownership import Bidder, State, Terms, Told
 
@@ -36,8 +36,8 @@
         again = min(terms.renew_ms for terms in tasks.values())
         self.bidder = Bidder(name, list(tasks), spread_ms=spread * again, again_ms=2.0 * again)
         self.follower = Follower(client, OWNERS, refresh_ms, clock, self._told)
-        self._group: TaskGroup | None = None
         self._first = True
+        self._spare: Spare | None = None  # the lease of a campaign that was lost, for the next one
 
     def _told(self, told: list[Told]) -> None:
         now = self.clock()
@@ -58,28 +58,32 @@
     async def run(self) -> None:
         """Take part until cancelled; what is held then is given back."""
         try:
-            async with anyio.create_task_group() as self._group:
-                self._group.start_soon(self.follower.run)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.follower.run)
                 while True:
                     await anyio.sleep(LOOK)
                     if self._first and self.follower.view.read_at is not None:
                         self._told([])  # the range was empty: nothing was told
-                    for task in self.bidder.due(self.clock()):
-                        self._group.start_soon(self._campaign, self.holders[task])
+                    while (task := self.bidder.due(self.clock())) is not None:
+                        await self._campaign(self.holders[task], group)
         finally:
             with anyio.CancelScope(shield=True):
                 for holder in self.holders.values():
                     await holder.leave()
 
-    async def _campaign(self, holder: Holder) -> None:
-        task = holder.owner.task
+    async def _campaign(self, holder: Holder, group: TaskGroup) -> None:
         if holder.lease is not None:
             return
+        holder.spare, self._spare = self._spare, None
         await holder.campaign()
+        self._spare, holder.spare = holder.spare, None
         if holder.lease is None:
             return  # held by another, or unanswered: the bidder tries again until the key is seen
-        self.bidder.won(task, holder.owner.token)
+        self.bidder.won(holder.owner.task, holder.owner.token)
         self.changed(holder)
+        group.start_soon(self._keep, holder)
+
+    async def _keep(self, holder: Holder) -> None:
         # What is renewed late (the loop was busy, the process paused) is the owner's state to judge; the
         # task ends here when it is lost, and the front campaigns again after a while.
         while holder.lease is not None:
@@ -88,7 +92,7 @@
             await holder.renew()
             if holder.owner.state is not before:
                 self.changed(holder)
-        self.bidder.lost(task, self.clock())
+        self.bidder.lost(holder.owner.task, self.clock())
         self.changed(holder)
 
     def held(self) -> list[Holder]:
--- a/cometseam/coordination/elect.py
+++ b/cometseam/coordination/elect.py
@@ -73,6 +73,16 @@
         return UNANSWERED
 
 
+@dataclass(frozen=True)
+class Spare:
+    """A lease that a lost campaign left unused: asked for at `sent` (ms), for `seconds`."""
+
+    lease: Any
+    seconds: int
+    sent: float
+    turns: int | None
+
+
 class Holder:
     """One front's hold on one task: `run` campaigns and renews for as long as it is not cancelled."""
 
@@ -85,6 +95,7 @@
         self.name = name
         self.clock = clock
         self.lease: Any = None
+        self.spare: Spare | None = None
         self.asked = 0  # requests sent to the service, for the measure of its load
 
     async def _ask(self, call: Awaitable[Any]) -> Any:
@@ -108,10 +119,17 @@
             held = await self._ask(self.client.get(key_of(self.owner.task)))
             if held is UNANSWERED or held is not None:
                 return
-        sent, turns = self._stamp()
-        lease = await self._ask(self.client.lease(max(int(self.owner.terms.ttl_ms // 1000), 1)))
-        if lease is UNANSWERED:
-            return
+        spare, self.spare = self.spare, None
+        now, turns = self._stamp()
+        seconds = max(int(self.owner.terms.ttl_ms // 1000), 1)
+        # A tenth of its time may be gone: that much less is left to act before the first renewal.
+        fits = spare is not None and (spare.seconds, spare.turns) == (seconds, turns)
+        if spare is None or not fits or now > spare.sent + 100.0 * seconds:
+            asked = await self._ask(self.client.lease(seconds))
+            if asked is UNANSWERED:
+                return
+            spare = Spare(asked, seconds, now, turns)
+        lease, sent = spare.lease, spare.sent
         key = key_of(self.owner.task)
         tx = self.client.transactions
         answer = await self._ask(
@@ -129,7 +147,7 @@
             self.lease = lease
             self.owner.won(replies[0].response_put.header.revision, sent, self.clock(), turns or 0)
         else:
-            await self._ask(lease.revoke())  # not needed: let it go at once rather than at its end
+            self.spare = spare  # for the next campaign soon, or to its own end: no more than one a front
 
     async def renew(self) -> None:
         """Renew the lease, then look at who holds the key."""
--- a/cometseam/coordination/party.py
+++ b/cometseam/coordination/party.py
@@ -210,6 +210,8 @@
             heard = self.board.take(cache, *verdict, now)
             if heard is not None:
                 COUNTERS.add("fleet.verdict.heard")
+                say("fleet.heard", cache=cache, word="bad" if heard.bad else "good",
+                    token=verdict[0], number=verdict[1])  # fmt: skip
                 self.judged(heard)
 
     def _changed(self, holder: Holder) -> None:
--- a/cometseam/events.py
+++ b/cometseam/events.py
@@ -41,6 +41,10 @@
         "WARNING", "configuration: {key}: has changed, which needs a restart", {"key": str}
     ),
     "config.read": Known("INFO", "configuration: read anew", {}),
+    "fleet.heard": Known(
+        "INFO", "fleet: {cache} heard {word} (token {token}, ruling {number})",
+        {"cache": str, "word": str, "token": int, "number": int},
+    ),
     "fleet.lapsed": Known("INFO", "fleet: the ruling on {cache} ended unsaid", {"cache": str}),
     "fleet.ruled": Known(
         "WARNING", "fleet: {cache} is ruled {word} (token {token}, ruling {number})",
--- a/cometseam/ownership/bidding.py
+++ b/cometseam/ownership/bidding.py
@@ -64,13 +64,20 @@
             sight.bid_at = now + self.wait(task)
         sight.token = token
 
-    def due(self, now: float) -> list[str]:
-        """Tell the tasks to campaign for now; each then waits for what comes of it, or `again_ms`."""
-        ready = [t for t, sight in self.tasks.items() if sight.bid_at is not None and sight.bid_at <= now]
-        for task in ready:
-            self.tasks[task].bid_at = now + self.again_ms
-            self.campaigns += 1
-        return ready
+    def due(self, now: float) -> str | None:
+        """Tell the task to campaign for now, the one due longest, or None; it then waits for what comes of
+        it, or `again_ms`.
+
+        One at a time: where many tasks come free at once (most of a fleet was restarted) each front begins
+        with another and sees what the others took before it goes on, or the first ones up would ask for all.
+        """
+        ready = [(s.bid_at, t) for t, s in self.tasks.items() if s.bid_at is not None]
+        if not ready or min(ready)[0] > now:
+            return None
+        task = min(ready)[1]
+        self.tasks[task].bid_at = now + self.again_ms
+        self.campaigns += 1
+        return task
 
     def next(self) -> float | None:
         """Tell when the next campaign is due; None where none is."""
--- a/cometseam/routing/shares.py
+++ b/cometseam/routing/shares.py
@@ -10,16 +10,20 @@
 
 GROWTH = 2.0  # times its part that a front wishes for where it was barred
 MARGIN = 1.25  # times what it used that it wishes for where it was not
-LEAST = 0.002  # of the whole: an idle front's wish, so that its first pull need not wait for a grant
 
 PARENTS = "parents"  # the group of all fronts, for parents; each zone's fronts are a group of its name
 
 
-def wish(part: float, used: float, barred: bool) -> float:
-    """Return the part of the whole to wish for: `part` is what it may use, `used` what it did; 0 to 1."""
-    if barred:
-        return min(max(GROWTH * part, LEAST), 1.0)
-    return min(max(MARGIN * used, LEAST), 1.0)
+def wish(part: float, used: float, barred: bool, unit: float) -> float:
+    """Return the part of the whole to wish for: `part` is what it may use, `used` what it did; 0 to 1.
+
+    `unit`: what one more pull takes. A part below that lets nothing through, so a front that sends anything
+    wishes for room for one more. An idle one wishes for nothing: it gets of what is left over, or asks when
+    its first pull was barred (and went on to the next cache).
+    """
+    if not barred and not used:
+        return 0.0
+    return min(max(GROWTH * part if barred else MARGIN * used, used + unit), 1.0)
 
 
 def wishes(front: Front, now: float) -> dict[int, float]:
@@ -29,7 +33,10 @@
         barred, server.barred = server.barred > 0, 0
         budget = front.cold(server)
         if budget:
-            found[cache] = wish(part(front, server, now), _used(front, server, now, budget), barred)
+            now_may = part(front, server, now)
+            whole = budget / now_may
+            unit = sum(front.mean_sending) / len(front.mean_sending) / whole
+            found[cache] = wish(now_may, _used(front, server, now, whole), barred, unit)
     return found
 
 
@@ -37,13 +44,13 @@
     """Tell which part of what the server bears this front may use now."""
     granted, until = server.granted
     equal = 1.0 / front.sharing(server.told)
-    return granted if now < until else min(granted, equal)
+    return max(granted if now < until else min(granted, equal), 1e-9)
 
 
-def _used(front: Front, server: Server, now: float, budget: float) -> float:
+def _used(front: Front, server: Server, now: float, whole: float) -> float:
     since = now - front.settings.fall_time
     sent = sum(work for at, work in server.spent if at > since)
-    return sent / budget * part(front, server, now)
+    return sent / whole
 
 
 def groups(
--- a/tests/test_fleet_fronts.py
+++ b/tests/test_fleet_fronts.py
@@ -7,6 +7,9 @@
 import anyio
 import pytest
 
+from cometseam.operator.compiled import read as read_compiled
+from cometseam.operator.compiled import write
+from cometseam.operator.fleet import read as read_fleet
 from cometseam.operator.load import load
 from tests.drive import SAMPLE, order
 from tests.standins.fronts import Fronts, fronts
@@ -171,6 +174,15 @@
     assert "fleet.service" in refused(tmp_path, "", service="nowhere")
 
 
+def test_the_example_of_a_fleet_is_a_good_file_and_its_terms_are_read_back() -> None:
+    loaded = load(Path(__file__).parent.parent / "deploy" / "fleet.jsonnet", SAMPLE["settings"])
+    again = read_compiled(write(loaded.compiled, loaded.networks))
+    assert again.fleet is not None and again.fleet == loaded.compiled.fleet
+    terms = read_fleet(again.fleet)
+    assert set(terms.tasks) == {"probe", "list", "limits"} and terms.limits == (500.0, 3000.0)
+    assert terms.log_bound_ms == 4000.0 and terms.probing.lasts == 6000.0
+
+
 def refused(folder: Path, tasks: str, more: str = "", service: str = "127.0.0.1:2379") -> str:
     """Return the faults of a file with such a fleet."""
     from cometseam.operator.compiled import Refused
