Free capacity by how much more each needs; a restarted front takes its dead process's place

Change: free capacity is split by how much more each is to get; what is left over goes by the wishes; a process that is heard shows that those of its name before it have ended, so what they used weighs for a window only.

--- a/cometseam/limits/coordinator.py
+++ b/cometseam/limits/coordinator.py
@@ -69,6 +69,7 @@
     written: list[Written] = field(default_factory=list)
     asked_after: float | None = None  # of the newest grant that it surely took; None: not known
     floor_until: float = 0.0  # until when what it sent by the floor may still weigh
+    ended: bool = False  # a later process of the same name was heard: this one is no more
 
 
 class Coordinator:
@@ -99,7 +100,9 @@
     def heard(self, front: str, ask: Ask, now: float) -> None:
         """A front's ask came in; one that is older than another heard already says nothing."""
         member = self.members.setdefault(front, Member())
-        if member.ask is not None and ask.number <= member.ask.number and ask.on <= member.ask.on:
+        self._replace(front, now)
+        known = member.ask
+        if member.ended or (known is not None and ask.number <= known.number and ask.on <= known.on):
             return
         if self._falls(member, now):
             member.floor_until = now + self.terms.window
@@ -112,6 +115,25 @@
                 one.until = min(one.until, now + self.terms.window)
                 one.lean = min(one.lean, now + self.terms.window)
 
+    def _replace(self, front: str, now: float) -> None:
+        """A process is known as `name.number`, the number growing with each start. One that is heard shows
+        that those of its name before it have ended (two that run can't have one name: they would listen at one
+        address), so what they may have used weighs for a window and no longer; else the parts of a fleet that
+        was restarted would stay with the dead until their grants and lean times are over.
+        """
+        name, _, start = front.rpartition(".")
+        if not name:
+            return
+        for other, member in self.members.items():
+            its_name, _, its_start = other.rpartition(".")
+            if its_name == name and not member.ended and int(its_start, 16) < int(start, 16):
+                member.ended, member.ask = True, None
+                until = now + self.terms.window
+                at_floor = self._falls(member, now) or now < member.floor_until
+                member.floor_until = until if at_floor else 0.0
+                for one in member.written:
+                    one.until, one.lean = min(one.until, until), min(one.lean, until)
+
     def left(self, front: str) -> None:
         """A front's ask is gone from the service: it ended, or is cut off. What was written still counts."""
         if front in self.members:
@@ -122,7 +144,7 @@
             member.written = [one for one in member.written if one.lean > now]
             if member.ask is not None and now - member.heard_at > self.terms.counted:
                 member.ask = None  # silent: what it asked for counts no more
-            if member.ask is None and not member.written:
+            if member.ask is None and not member.written and member.floor_until <= now:
                 del self.members[front]
                 self._forgotten.append(front)
 
@@ -134,6 +156,8 @@
         that one was written. Where no such chain is known, the front may be at the floor now.
         """
         terms = self.terms
+        if member.ended:
+            return False
         if member.asked_after is None:
             return True
         return now + terms.counted + terms.window > member.asked_after + terms.safe
@@ -149,15 +173,21 @@
                 shares.append(share)
             elif now < one.lean:
                 shares.append(min(share, floor))
-        if not shares or now < member.floor_until or self._falls(member, now):
+        none = not shares and not member.ended
+        if none or now < member.floor_until or self._falls(member, now):
             shares.append(floor)
-        return max(shares)
+        return max(shares, default=0.0)
 
     def kept(self, name: str, now: float) -> float:
         """The part of a limit that is spoken for: used, or kept free for fronts that are not heard of."""
-        unheard = max(self.terms.expected - len(self.members), 0)
+        unheard = self._unheard()
         return sum(self.most(m, name, now) for m in self.members.values()) + unheard * self.terms.floor
 
+    def _unheard(self) -> int:
+        """How many fronts are expected and not heard of."""
+        heard = sum(not member.ended for member in self.members.values())
+        return max(self.terms.expected - heard, 0)
+
     def share_out(self, now: float) -> dict[str, Grant]:
         """Return the grants to write now, one for each front that asks; each counts from now on, written or
         not (an answer that is lost leaves it unknown)."""
@@ -190,18 +220,19 @@
         floor = self.terms.floor
         wishes = {f: m.ask.wishes[name] for f, m in asking.items() if m.ask and name in m.ask.wishes}
         others = [m for f, m in self.members.items() if f not in wishes]
-        unheard = max(self.terms.expected - len(self.members), 0)
+        unheard = self._unheard()
         spoken = sum(self.most(m, name, now) for m in others) + unheard * floor
         targets = fair(wishes, max(1.0 - spoken, 0.0))
         uses = {front: self.most(asking[front], name, now) for front in wishes}
         total = sum(uses.values()) + spoken
-        # First those that give something back: it is free once they have said so.
-        for front in sorted(wishes, key=lambda f: (targets[f] - uses[f], f)):
-            free = 1.0 - (total - uses[front])
+        # What is free is split among those that are to get more, by how much more: served one after the
+        # other, many that come and go would leave nothing to a few that need much.
+        more = {front: max(targets[front] - uses[front], 0.0) for front in wishes}
+        part = min(max(1.0 - total, 0.0) / max(sum(more.values()), 1e-9), 1.0)
+        over = max(total - 1.0, 0.0)
+        for front in sorted(wishes):
             own = [w.shares.get(name, floor) for w in asking[front].written if w.until > now]
             current = min(own, default=floor)
             # It may always go on with what it has, up to the floor: it was its own before anybody asked.
-            share = min(targets[front], max(free, min(current, floor)))
-            total += max(share, uses[front]) - uses[front]
-            uses[front] = max(share, uses[front])
-            yield front, share
+            most = max(uses[front] - over + part * more[front], min(current, floor))
+            yield front, min(targets[front], most)
