The wait before a campaign in the file (fleet.spread); the flood takes three waits in turns

Cause: with 200 fronts and 50 tasks most fronts had campaigned before the watch told them of the winner.

--- a/bench/flood.py
+++ b/bench/flood.py
@@ -1,8 +1,8 @@
 """Two hundred fronts contend for fifty tasks, with processes dying and joining every second, on loopback.
 
 Real processes, several fronts each with a connection of its own (`coordination.agent --members`): the etcd
-stand-in, a fenced target, our proxies. The eager way (campaign the moment a task is seen free) and the way
-with a wait by `Bidder` alternate in one run. Not run by CI:
+stand-in, a fenced target, our proxies. The eager way (campaign the moment a task is seen free) and ways
+with a wait of up to 100 ms and 1 s by `Bidder` are taken in turns in one run. Not run by CI:
 
     python -m bench.flood --processes 8 --members 25 --tasks 50 --seconds 20
 """
@@ -44,11 +44,11 @@
     return told
 
 
-async def play(words: argparse.Namespace, eager: bool) -> dict[str, float]:
+async def play(words: argparse.Namespace, spread: float) -> dict[str, float]:
     """One run; return its figures."""
     tasks = [f"t{number:02}" for number in range(words.tasks)]
     extra = ["--tasks", ",".join(tasks), "--members", str(words.members), "--every-ms", "200"]
-    extra += ["--refresh-ms", "2000"] + (["--eager"] if eager else [])
+    extra += ["--refresh-ms", "2000", "--spread-ms", str(spread)]
     async with fleet(words.processes, extra=tuple(extra)) as here:
         began = anyio.current_time()
         await here.target.wait_for(lambda h: {e.task for e in h if e.passed} == set(tasks), 60)
@@ -77,11 +77,12 @@
 
 
 async def main(words: argparse.Namespace) -> None:
-    """Alternate the two ways and print their figures side by side."""
-    runs: dict[str, list[dict[str, float]]] = {"eager": [], "with a wait": []}
+    """Take the ways in turns and print their figures side by side."""
+    ways = {"eager": 0.0, "100 ms": 100.0, "1 s": 1000.0}
+    runs: dict[str, list[dict[str, float]]] = {way: [] for way in ways}
     for _ in range(words.rounds):
-        for way in runs:
-            runs[way].append(await play(words, way == "eager"))
+        for way, spread in ways.items():
+            runs[way].append(await play(words, spread))
     fronts = words.processes * words.members
     print(f"{fronts} fronts in {words.processes} processes, {words.tasks} tasks, TTL {TTL_MS:g} ms")
     for key in runs["eager"][0]:
--- a/cometseam/coordination/agent.py
+++ b/cometseam/coordination/agent.py
@@ -102,8 +102,7 @@
     terms = _terms(words)
     async with connect(Place.parse(words.etcd), terms) as client, anyio.create_task_group() as group:
         tasks = {task: terms for task in words.tasks.split(",")}
-        spread = 0.0 if words.eager else 0.5
-        crew = Crew(client, name, tasks, words.refresh_ms, clock.now, _say, spread)
+        crew = Crew(client, name, tasks, words.refresh_ms, clock.now, _say, words.spread_ms)
         group.start_soon(crew.run)
         acting = Acting(name, Place.parse(words.target), words.every_ms, clock.now)
         group.start_soon(acting.run, crew.held)
@@ -140,7 +139,7 @@
     parser.add_argument("--every-ms", type=float, default=20.0)
     parser.add_argument("--jump-ms", type=float, default=0.0, help="what SIGUSR1, SIGUSR2 move the clock by")
     parser.add_argument("--no-look", action="store_true", help="campaign without reading the key first")
-    parser.add_argument("--eager", action="store_true", help="with --tasks: campaign without a wait")
+    parser.add_argument("--spread-ms", type=float, default=None, help="with --tasks: the longest wait to bid")
     words = parser.parse_args()
     try:
         _terms(words).check()
--- a/cometseam/coordination/crew.py
+++ b/cometseam/coordination/crew.py
@@ -26,15 +26,16 @@
 
     def __init__(
         self, client: aetcd.Client, name: str, tasks: dict[str, Terms], refresh_ms: float, clock: Clock,
-        changed: Changed, spread: float = 0.5,
+        changed: Changed, spread_ms: float | None = None,
     ) -> None:  # fmt: skip
-        """`spread`: the longest wait before a campaign, as a part of the shortest `renew_ms`; 0: none."""
+        """`spread_ms`: the longest wait before a campaign; half of the shortest `renew_ms` by default."""
         self.clock, self.changed = clock, changed
         self.holders = {
             task: Holder(client, task, name, terms, clock, look_first=False) for task, terms in tasks.items()
         }
         again = min(terms.renew_ms for terms in tasks.values())
-        self.bidder = Bidder(name, list(tasks), spread_ms=spread * again, again_ms=2.0 * again)
+        half = 0.5 * again if spread_ms is None else spread_ms
+        self.bidder = Bidder(name, list(tasks), spread_ms=half, again_ms=2.0 * again)
         self.follower = Follower(client, OWNERS, refresh_ms, clock, self._told)
         self._first = True
         self._spare: Spare | None = None  # the lease of a campaign that was lost, for the next one
--- a/cometseam/coordination/party.py
+++ b/cometseam/coordination/party.py
@@ -73,7 +73,8 @@
         self.terms, self.clock, self.addresses, self.judged = terms, clock, addresses, judged
         longest = max(terms.tasks.values(), key=lambda each: each.round_trip_ms)
         self.client = connect(Place.parse(terms.service), longest)
-        self.crew = Crew(self.client, name, terms.tasks, terms.refresh_ms, clock, self._changed)
+        told = (terms.refresh_ms, clock, self._changed, terms.spread_ms)
+        self.crew = Crew(self.client, name, terms.tasks, *told)
         self.prober = Prober(terms.probing)
         self.board = Board(terms.probing.lasts)
         self.follower = Follower(self.client, VERDICTS, terms.refresh_ms, clock, self._told)
--- a/cometseam/limits/coordinator.py
+++ b/cometseam/limits/coordinator.py
@@ -117,9 +117,9 @@
 
     def _replace(self, front: str, now: float) -> None:
         """A process is known as `name.number`, the number growing with each start. One that is heard shows
-        that those of its name before it have ended (two that run can't have one name: they would listen at one
-        address), so what they may have used weighs for a window and no longer; else the parts of a fleet that
-        was restarted would stay with the dead until their grants and lean times are over.
+        that those of its name before it have ended (two that run can't have one name: they would listen at
+        one address), so what they may have used weighs for a window and no longer; else the parts of a fleet
+        that was restarted would stay with the dead until their grants and lean times were over.
         """
         name, _, start = front.rpartition(".")
         if not name:
--- a/cometseam/operator/fleet.py
+++ b/cometseam/operator/fleet.py
@@ -32,6 +32,7 @@
     log_bound_ms: float | None = None  # None: each front reads the change log itself
     limits: tuple[float, float] | None = None  # refresh and lasts of grants; None: nothing is shared out
     drift: float = 0.01
+    spread_ms: float | None = None  # the longest wait before a campaign; None: half of the shortest renewal
 
 
 def check(form: FleetForm | None, complain: Callable[[Path, str], None]) -> dict[str, Any] | None:
@@ -72,6 +73,7 @@
         "log_bound_ms": None if form.log is None else form.log.bound,
         "limits": None if form.limits is None else [form.limits.refresh, form.limits.lasts],
         "drift": form.drift,
+        "spread_ms": form.spread,
     }
 
 
@@ -130,4 +132,5 @@
         values["log_bound_ms"],
         tuple(values["limits"]) if values["limits"] else None,
         values["drift"],
+        values["spread_ms"],
     )
--- a/cometseam/operator/schema.py
+++ b/cometseam/operator/schema.py
@@ -379,6 +379,7 @@
     round_trip: Annotated[Duration, Field(gt=0.0)] = 100.0
     drift: Annotated[Number, Field(ge=0.0, le=0.1)] = 0.01
     refresh: Annotated[Duration, Field(ge=100.0)] = 1000.0
+    spread: Duration | None = None
     tasks: Annotated[dict[str, TaskForm], Field(max_length=1024)]
     probing: ProbingForm | None = None
     log: LogForm | None = None
