--- a/bench/limits.py
+++ b/bench/limits.py
@@ -25,17 +25,19 @@
     "the hot front's link cut": (played.one_hot, played.hot_link_cut),
     "all links cut for 3 grants": (played.moving, played.all_links_cut),
     "service frozen 2 s": (played.moving, played.service_frozen),
+    "service split in two": (played.moving, played.service_split),
+    "two of three fronts restarted": (played.moving, played.most_restarted),
 }
 RULED = re.compile(
     r"(\d\d:\d\d:\d\d\.\d{3}) \S+ fleet: (\S+) (?:is ruled|heard) (\w+) \(token (\d+), ruling (\d+)\)"
 )
 
 
-async def limits(rounds: int) -> None:
-    """Play each fault in both ways, in turns."""
+async def limits(rounds: int, only: str) -> None:
+    """Play each fault in both ways, in turns; `only`: those whose name holds it."""
     print("fault | way | most in a window, by the limit | used after 4 s, mean")
     for name, (rate, fault) in FAULTS.items():
-        for _ in range(rounds):
+        for _ in range(rounds if only in name else 0):
             # Without sharing no fault on the service's side reaches a front: nothing to set beside it.
             for way in ("shared", "equal parts") if fault is played.nothing else ("shared",):
                 here = await played.play(way == "shared", rate, 10.0, fault)
@@ -84,12 +86,14 @@
 
 async def main(words: argparse.Namespace) -> None:
     """Measure both."""
-    await verdicts(words.rulings)
-    await limits(words.rounds)
+    if words.rulings:
+        await verdicts(words.rulings)
+    await limits(words.rounds, words.only)
 
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--rulings", type=int, default=12)
+    parser.add_argument("--only", default="", help="play the faults whose name holds this")
     anyio.run(main, parser.parse_args(), backend="asyncio")
--- a/tests/standins/fronts.py
+++ b/tests/standins/fronts.py
@@ -4,6 +4,7 @@
 
 import os
 import re
+import shutil
 import signal
 import tempfile
 from collections.abc import AsyncIterator
@@ -58,6 +59,8 @@
     worlds: list[World] = field(default_factory=list)
     links: list[Proxy] = field(default_factory=list)
     stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+    folders: list[Path] = field(default_factory=list)
+    more: list[Process] = field(default_factory=list)  # further members that a test started
     cold_at: float = 0.0  # s, monotonic: when cache-2 started anew
 
     def used(self) -> list[tuple[float, float]]:
@@ -72,6 +75,26 @@
                 found.append((at, inside / limit))
         return found
 
+    async def split_service(self, places: list[int]) -> None:
+        """Start a second member from a copy of the log and lead these fronts to it: each thinks it is it."""
+        copy = self.wal + ".split"
+        shutil.copyfile(self.wal, copy)
+        other, port = await start_etcd(copy)
+        self.more.append(other)
+        for place in places:
+            self.links[place].upstream = port
+            await self.links[place].set_cut()
+            self.links[place].cut = False
+
+    async def restart(self, places: list[int]) -> None:
+        """Kill fronts at once and start them again, each with what it is configured with."""
+        for place in places:
+            self.worlds[place].process.kill()
+        for place in places:
+            await self.worlds[place].process.wait()
+            self.worlds[place].output = b""
+            await self.worlds[place].start(self.folders[place])
+
     def owner(self, task: str) -> int | None:
         """The place of the front that holds a task by its own log; None where none does."""
         holds = []
@@ -125,11 +148,12 @@
                     for cache in front.caches.values():  # the parent and the origin of its own
                         cache.alive = True
                     here.worlds.append(front)
+                    here.folders.append(place)
                 yield here
                 await here.stack.aclose()
                 group.cancel_scope.cancel()
         finally:
-            for process in [*(front.process for front in here.worlds), here.etcd]:
+            for process in [*(front.process for front in here.worlds), here.etcd, *here.more]:
                 if process.returncode is None:
                     os.kill(process.pid, signal.SIGCONT)
                     process.kill()
--- a/tests/test_limits_fronts.py
+++ b/tests/test_limits_fronts.py
@@ -28,9 +28,11 @@
     return "asyncio"
 
 
-async def ask(here: Fronts, place: int, rate: Callable[[float], float], length: float) -> None:
+async def ask(
+    here: Fronts, place: int, rate: Callable[[float], float], length: float, first: int = 0
+) -> None:
     """Have one client ask through a front at a rate that changes with time, until the front ends."""
-    began, number = time.monotonic(), 0
+    began, number = time.monotonic(), first
     try:
         caller = await here.worlds[place].call()
         while (passed := time.monotonic() - began) < length:
@@ -115,6 +117,21 @@
     os.kill(here.etcd.pid, signal.SIGCONT)
 
 
+async def service_split(here: Fronts) -> None:
+    """Two halves, each with a coordinator that thinks it is the only one."""
+    await anyio.sleep(2.5)
+    await here.split_service([0])
+
+
+async def most_restarted(here: Fronts) -> None:
+    """Two of three fronts are killed at once, and ask on as soon as they are up."""
+    await anyio.sleep(2.5)
+    await here.restart([0, 1])
+    async with anyio.create_task_group() as tasks:
+        for place in (0, 1):
+            tasks.start_soon(ask, here, place, lambda at: 100.0, 4.0, 500_000)
+
+
 async def test_a_hot_front_gets_what_the_others_leave_and_the_cold_cache_no_more() -> None:
     here = await play(True, one_hot, 8.0, nothing)
     assert over_limit(here) <= 1.0
@@ -128,13 +145,20 @@
 
 
 @pytest.mark.parametrize(
-    "fault", [coordinator_killed, coordinator_paused, hot_link_cut, all_links_cut, service_frozen]
+    "fault",
+    [coordinator_killed, coordinator_paused, hot_link_cut, all_links_cut, service_frozen, service_split],
 )
 async def test_the_cold_cache_gets_no_more_than_its_limit_under(fault: Fault) -> None:
     here = await play(True, moving, 9.0, fault)
     assert over_limit(here) <= 1.0, here.used()
 
 
+async def test_two_of_three_fronts_restarted_at_once_stay_within_the_bound_of_processes() -> None:
+    """What a dead process sent still weighs for a window, and the new one begins at its floor: N is five."""
+    here = await play(True, moving, 9.0, most_restarted)
+    assert over_limit(here) <= 5.0 / 3.0, here.used()
+
+
 def test_the_limit_in_relays_is_what_the_settings_say() -> None:
     """0.75 of 2.5 times a fifth of 8 streams for 3 s, in pulls of 250 ms; a warm cache has none."""
     assert cold_limit(0.0) == cold_limit(2.9) == 36.0 and cold_limit(6.0) > 60.0 and cold_limit(14.1) == 0.0
