--- a/bench/flood.py
+++ b/bench/flood.py
@@ -8,14 +8,12 @@
 """
 
 import argparse
-import json
-import os
-import signal
 
 import anyio
 
+from bench.ownership import counted
 from tests.standins.faults import Effect, anomalies, overlaps
-from tests.standins.fleet import TTL_MS, Fleet, fleet
+from tests.standins.fleet import TTL_MS, fleet
 
 
 def gaps(history: list[Effect], since: float) -> list[float]:
@@ -30,20 +28,6 @@
     return sorted(most.values())
 
 
-async def counted(here: Fleet) -> dict[str, int]:
-    """End the stand-in and return the calls that it had, by method."""
-    os.kill(here.etcd.pid, signal.SIGTERM)
-    assert here.etcd.stdout is not None
-    text = b""
-    with anyio.fail_after(10):
-        async for chunk in here.etcd.stdout:
-            text += chunk
-            if b"calls " in text and text.endswith(b"\n"):
-                break
-    told: dict[str, int] = json.loads(text.split(b"calls ", 1)[1].decode())
-    return told
-
-
 async def play(words: argparse.Namespace, spread: float) -> dict[str, float]:
     """One run; return its figures."""
     tasks = [f"t{number:02}" for number in range(words.tasks)]
--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -14,7 +14,7 @@
 
 import anyio
 
-from tests.standins.fleet import TTL_MS, first_owner, fleet, late_owner, newer, owner_now
+from tests.standins.fleet import TTL_MS, Fleet, first_owner, fleet, late_owner, newer, owner_now
 
 
 async def failover(kills: int, extra: tuple[str, ...] = ()) -> list[float]:
@@ -45,20 +45,26 @@
     return arrived, refused
 
 
+async def counted(here: Fleet) -> dict[str, int]:
+    """End the stand-in and return the calls that it had, by method."""
+    os.kill(here.etcd.pid, signal.SIGTERM)
+    assert here.etcd.stdout is not None
+    text = b""
+    with anyio.fail_after(10):
+        async for chunk in here.etcd.stdout:
+            text += chunk
+            if b"calls " in text and text.endswith(b"\n"):
+                break
+    told: dict[str, int] = json.loads(text.split(b"calls ", 1)[1].decode())
+    return told
+
+
 async def load(seconds: float, fronts: int, extra: tuple[str, ...] = ()) -> dict[str, float]:
     """Calls on the service per front per second in a calm fleet, by method, as the stand-in counted them."""
     async with fleet(fronts, extra=extra) as here:
         await first_owner(here)
         await anyio.sleep(seconds)
-        os.kill(here.etcd.pid, signal.SIGTERM)
-        assert here.etcd.stdout is not None
-        text = b""
-        with anyio.fail_after(10):
-            async for chunk in here.etcd.stdout:
-                text += chunk
-                if b"calls " in text and text.endswith(b"\n"):
-                    break
-        calls = json.loads(text.split(b"calls ", 1)[1].decode())
+        calls = await counted(here)
     return {name: count / fronts / seconds for name, count in calls.items()}
 
 
