Where no answer tells how it came about, waits and hits are taken from what was asked

A probe of what each refused pull met: three looks missed, sources and origin in time, the zone's link not: its crowd stood at 3 to 10 while nothing was late (used 21%, no time-outs). Ruled out: the caches' limits, the origin, relays left. At fault: _learn took 'sent_in = took - waited' with waited 0, so a short answer's wait for its source (60 to 200 ms) counted as a link many times too full; and the loss of kept copies could only rise, as a hit was never told.

Change: where nothing is told, a look that ends well is a hit and all else was filled; what a fill took past its sending is a wait as far as that is usual (it falls fast and rises slowly), and short sendings weigh little. It also holds against any site that tells only hits. It could harm where a link fills slowly: the usual wait then rises with it.

Where waits are told nothing changes. Two tests, both fail without it.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -75,9 +75,10 @@
         """Tell how many times its own time one more would take."""
         return max((self.out + 1) / self.size, self.crowded(now))
 
-    def see(self, seen: float, now: float) -> None:
-        """Take in how many times its own time a transfer took."""
-        self.crowd, self.crowd_at = 0.5 * (self.crowded(now) + max(seen, 1.0)), now
+    def see(self, seen: float, now: float, sure: float = 1.0) -> None:
+        """Take in how many times its own time a transfer took, and how sure that is."""
+        crowd = self.crowded(now)
+        self.crowd, self.crowd_at = crowd + 0.5 * sure * (max(seen, 1.0) - crowd), now
 
 
 class Server:
@@ -164,7 +165,7 @@
         self.values: deque[float] = deque(maxlen=VALUES)
         self.cuts, self.uncut = [0.0, 0.0], 0
         self.link_full = float("inf")  # transfers on the zone's link over those that fit, as last told
-        self.usual_wait = 100.0  # ms to a fetched copy's first byte
+        self.usual_wait = self.past = 100.0  # ms to a fetched copy's first byte; past a fill's sending, untold
         self.mean_sending = [workload.quoted for workload in settings.workloads]
         self.purged: dict[tuple[int, int], tuple[float, float]] = {}  # made, void; a new one clears these
         self.plans, self.easing = Ledger(Plans(())), Easing(self.random)
@@ -555,6 +556,16 @@
 
     def _learn(self, held: Held, event: Ended) -> None:
         target, source, outcome, remark = held.way.target, held.way.source, event.outcome, event.remark
+        waited, sure = event.waited, 1.0
+        if outcome is Outcome.OK and remark is Remark.NONE:
+            # Nothing is told of how it came about: a look finds only what is kept, all else was filled, and
+            # what it took past its sending was a wait as far as that is usual; short sendings tell little.
+            remark = Remark.HIT if source is target else Remark.FILLED
+            past = max(event.took - held.sending, 0.0)
+            if held.fills:
+                self.past += (0.1 if past < self.past else 0.02) * (past - self.past)
+                waited = min(past, self.past)
+                sure = held.sending / (held.sending + waited + 1.0)
         if self.settings.link_report < len(event.load) and target in self.near:
             self.link_full = event.load[self.settings.link_report]
             self.fills.see((1.0 - 1.0 / self.sharing(target.told)) * self.link_full, self.now)  # others'
@@ -577,7 +588,7 @@
         if held.track and outcome is Outcome.OK and held.rank:
             held.track.kept_at = (target, self.now + (held.workload.fresh or float("inf")))
         fetched = remark is Remark.FILLED_FROM_ORIGIN
-        sent_in = event.took - event.waited if held.fills else event.took
+        sent_in = event.took - waited if held.fills else event.took
         at_pace = outcome is Outcome.OK and sent_in <= held.sending * held.slowed + SLACK
         if held.fills and remark is not Remark.HIT and not looked:
             if outcome in (Outcome.OK, Outcome.TIMEOUT):
@@ -590,7 +601,7 @@
                 slow = self.fills if pace <= self.link_full else self.fetches if by_origin else source.load
                 for limit in (self.fills, source.load):
                     if limit is slow or pace < limit.crowded(self.now):
-                        limit.see(pace, self.now)
+                        limit.see(pace, self.now, sure)
                 if fetched:
                     strain = max(event.waited / self.usual_wait, pace if slow is self.fetches else 0.0)
                     self.fetches.see(strain, self.now)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -357,3 +357,27 @@
     drive.pull(1)
     drive.end(1)
     assert compared[0] <= 400
+
+
+def test_where_nothing_is_told_the_wait_of_short_answers_is_not_laid_to_the_link() -> None:
+    drive = Drive()
+    for number in range(1, 9):  # 10 ms of sending each, filled after the source's 180 ms
+        drive.tell(i.Pull(number, number + 10, 0, 0, 2000.0, False, 50.0, 3), 10.0)
+        drive.lack(number)
+        drive.end(number, remark=i.Remark.NONE, after=190.0)
+    drive.pull(9)
+    drive.lack(9)
+    drive.trace = drive.trace[-2:]
+    drive.check("untold_wait")
+
+
+def test_where_nothing_is_told_a_look_that_finds_a_copy_is_a_hit() -> None:
+    drive = Drive(caches=(12, *PARENTS, ORIGIN))
+    edge = drive.front.edges[0]
+    for number in range(1, 40):
+        drive.pull(number)
+        if number == 1:
+            drive.lack(number)
+        drive.end(number, remark=i.Remark.NONE)
+        edge.loss = 0.2 if number == 1 else edge.loss
+    assert edge.loss < 0.1  # it keeps what it was given
