A fill that times out is no sign of the link's pace where its fullness is not told

Logged fills: short ones that timed out (28 ms of sending, 711 ms) were taken for a link 22 to 68 times too full, at full weight; the crowd of the zone's link stood at 20 to 128 and wears off in tens of seconds. Ruled out: caches (in time, room), sources (in time), the origin's crowd (1). At fault: _learn laid a timed-out fill's pace to self.fills wherever no fullness is told (link_full stays inf).

It could harm where a link is so full that nothing long ends.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -557,6 +557,10 @@
     def _learn(self, held: Held, event: Ended) -> None:
         target, source, outcome, remark = held.way.target, held.way.source, event.outcome, event.remark
         waited, sure = event.waited, 1.0
+        if outcome is Outcome.TIMEOUT and self.link_full == float("inf"):
+            # It may have waited all of its LATE: the silence of a cache or a source is not laid to the link.
+            # Where the link's fullness is told, it goes to the source.
+            waited = LATE
         if outcome is Outcome.OK and remark is Remark.NONE:
             # Nothing is told of how it came about: a look finds only what is kept, all else was filled, and
             # what it took past its sending was a wait as far as that is usual; short sendings tell little.
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -381,3 +381,14 @@
         drive.end(number, remark=i.Remark.NONE)
         edge.loss = 0.2 if number == 1 else edge.loss
     assert edge.loss < 0.1  # it keeps what it was given
+
+
+def test_the_silence_of_a_source_is_not_laid_to_a_link_whose_fullness_is_not_told() -> None:
+    drive = Drive()
+    drive.tell(i.Pull(1, 9, 0, 0, 2000.0, False, 50.0, 3), 10.0)
+    drive.lack(1)
+    drive.end(1, i.Outcome.TIMEOUT, i.Remark.NONE, after=640.0)
+    drive.pull(2)
+    drive.lack(2)
+    drive.trace = drive.trace[-2:]
+    drive.check("silent_link")
