Untold: a slow fill is laid to its source beside quicker ones, a refused one to source, then origin

Checked: outcomes by way of a relay (FULL comes from fills alone, never from looks), share of FULL with parents gone. At fault: _learn, where no remark tells who refused and link_full stays untold.

Change: with fullness untold the link is held to be no fuller than what came lately through the quickest other source. A fill turned away without a word strikes its source; a second one of the same pull counts as the origin's failure. It covers grey and dead parents and an origin over its rate; it harms where the cache itself lacks places, as a parent then rests for 0.4 s.

Two tests fail without it.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -91,6 +91,7 @@
         self.answered = self.sick_until = 0.0
         self.loss = self.errs = 0.0  # share of what it kept that looks find gone, and of errors, lately
         self.lost, self.pace = 0.0, 1.0  # share of looks not answered while it was well, and its pace, lately
+        self.paced_at = float("-inf")  # when a fill through it last told that
         self.granted, self.barred = (float("inf"), 0.0), 0  # the fleet's grant, its end; sends barred
         self.spent: deque[list[float]] = deque()  # [time, work] sent; what is older than a window leaves
 
@@ -123,7 +124,7 @@
         self.lacks: Server | None = None  # the cache that answered a look with a miss
         self.known: list[tuple[Server, bool]] = []  # who holds no copy; True: not even an ageing one
         # Whether the relay out may fill, whether a fill was under way, and whether the origin failed it.
-        self.fills = self.joins = self.spurned = False
+        self.fills = self.joins = self.spurned = self.turned = False
         self.track: Track | None = None
         self.way: Way
         self.sent_at = self.slowed = 0.0
@@ -567,6 +568,10 @@
             # It may have waited all of its LATE: the silence of a cache or a source is not laid to the link.
             # Where the link's fullness is told, it goes to the source.
             waited = LATE
+        if outcome is Outcome.FULL and held.fills and remark is Remark.NONE:
+            # Untold who turned it away: its source, as a dead one does; the next one too: the origin behind.
+            remark = Remark.ORIGIN_FAILED if held.turned else Remark.SOURCE_BROKE
+            held.turned = True
         if outcome is Outcome.OK and remark is Remark.NONE:
             # Nothing is told of how it came about: a look finds only what is kept, all else was filled, and
             # what it took past its sending was a wait as far as that is usual; short sendings tell little.
@@ -615,7 +620,15 @@
                 pace = max(sent_in - SLACK, 0.0) / held.sending if held.sending else 0.0
                 # A fetched copy far slower than the parent's crowd explains is slow by the origin's link.
                 by_origin = fetched and pace > 2.0 * source.load.crowded(self.now)
-                slow = self.fills if pace <= self.link_full else self.fetches if by_origin else source.load
+                full = self.link_full
+                if full == float("inf"):
+                    # Untold: the link is no fuller than what came lately through the quickest other source.
+                    others = [e for e in self._sources(held) if e is not source]
+                    others = [e for e in others if self.now - e.paced_at < self.lasts]
+                    full = HASTE * min((e.pace for e in others), default=full)
+                    source.paced_at = self.now
+                    source.pace += 0.5 * sure * (max(pace, 1.0) - source.pace)
+                slow = self.fills if pace <= full else self.fetches if by_origin else source.load
                 for limit in (self.fills, source.load):
                     if limit is slow or pace < limit.crowded(self.now):
                         limit.see(pace, self.now, sure)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -404,7 +404,35 @@
         drive.pull(number + 20)
         drive.end(number, after=took)
         lost = number > 8 and number % 2
-        drive.end(number + 20, *((i.Outcome.TIMEOUT, i.Remark.NONE) if lost else ()), after=200.0)
+        how = (i.Outcome.TIMEOUT, i.Remark.NONE) if lost else (i.Outcome.OK, i.Remark.HIT)
+        drive.end(number + 20, *how, after=200.0)
     drive.pull(50, after=8000.0)
     assert drive.last[50].cache == drive.last[50].source == 12
     assert (drive.last[50].time_out < 400.0) is haste
+
+
+def test_a_source_slow_beside_a_quick_one_is_not_laid_to_the_link() -> None:
+    drive = Drive()
+    for number in range(1, 17):  # 22 delivers at its pace; 21 is slow, and the last to end
+        drive.pull(number, wanted=number, after=50.0)
+        drive.lack(number)
+        slow = drive.last[number].source == 21
+        drive.end(number, remark=i.Remark.NONE, after=1500.0 if slow else 110.0)
+        if slow and number > 8:
+            break
+    drive.pull(99, wanted=2)
+    drive.lack(99)
+    drive.trace = drive.trace[-2:]
+    drive.check("slow_source")
+
+
+def test_fills_turned_away_where_nothing_is_told_are_their_sources_and_then_the_origins() -> None:
+    drive = Drive()
+    drive.pull(1)
+    drive.lack(1)
+    first = drive.last[1]
+    drive.end(1, i.Outcome.FULL, i.Remark.NONE, after=20.0)
+    again = drive.last[1]
+    assert again.cache == first.cache and again.source not in (first.source, first.cache)
+    drive.end(1, i.Outcome.FULL, i.Remark.NONE, after=20.0)  # now it is spurned: nothing fills it
+    drive.check("untold_full")
