Share out how many relays all fronts have out at one cache, capped in the operator's file

Change: fleet.limits.relays caps what the fleet has out at one cache and at one parent. The module is told the cap (Capped) and its part (Granted with relays) and keeps to it at the gate, for target and source (Part in cometseam/limits, which cold budgets use too). A cap below one relay a front is refused at load. Off without the file: Capped is never told.

Seen on loopback, three real fronts, demand that moves every 2 s, cap 6: never over it with the coordinator killed, links cut, the service split; one hot front has 4 and more where equal parts are 2; without a cap the fleet passes 6. tests/test_relays_fronts.py, 6 tests.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -4,7 +4,11 @@
 real fronts in any window of 3 s, as a part of its limit; with the limit shared out and in equal parts, in
 turns. And verdicts: how long after the prober ruled each other front heard it, by the fronts' own logs.
 
+And relays out at one cache at once, under a cap for the fleet: the most, and the mean of what was out at the
+hot front's turn, with the cap shared out and in equal parts (no front reaches the service).
+
     python -m bench.limits --rounds 2 --rulings 12
+    python -m bench.limits --rounds 0 --rulings 0 --relays 1
 """
 
 import argparse
@@ -15,7 +19,8 @@
 import anyio
 
 from tests import test_limits_fronts as played
-from tests.standins.fronts import fronts, over_limit
+from tests import test_relays_fronts as capped
+from tests.standins.fronts import Fronts, fronts, over_limit
 
 FAULTS = {
     "none, one front hot": (played.one_hot, played.nothing),
@@ -45,6 +50,40 @@
                 print(f"{name} | {way} | {over_limit(here):.2f} | {fmean(used or [0.0]):.2f}", flush=True)
 
 
+async def links_cut_from_the_start(here: Fronts) -> None:
+    """Nobody reaches the service: each front has its equal part."""
+    for link in here.links:
+        await link.set_cut()
+
+
+RELAYS = {
+    "one front hot": (0.0, played.nothing),
+    "demand moves every 2 s": (2.0, played.nothing),
+    "coordinator killed": (2.0, played.coordinator_killed),
+    "coordinator paused, wakes late": (2.0, played.coordinator_paused),
+    "the hot front's link cut": (0.0, played.hot_link_cut),
+    "all links cut for 3 grants": (2.0, played.all_links_cut),
+    "service frozen 2 s": (2.0, played.service_frozen),
+    "service split in two": (2.0, played.service_split),
+    "two of three fronts restarted": (2.0, played.restarted),
+}
+
+
+async def relays(rounds: int, only: str) -> None:
+    """Play each fault with the cap shared out, and, where there is none, in equal parts, in turns."""
+    print("fault | way | most out at a cache, by the cap | mean from 3 s on, by the cap | relays a second")
+    for name, (turn, fault) in RELAYS.items():
+        for _ in range(rounds if only in name else 0):
+            ways = {"shared": fault}
+            if fault is played.nothing:
+                ways["equal parts"] = links_cut_from_the_start
+            for way, thrown in ways.items():
+                here = await capped.play(capped.CAP, thrown, 9.0, turn)
+                late = [out for at, _, out in here.caches.levels if at - here.cold_at >= 3.0]
+                most, mean = capped.most(here) / capped.CAP, fmean(late or [0.0]) / capped.CAP
+                print(f"{name} | {way} | {most:.2f} | {mean:.2f} | {len(late) / 6.0:.0f}", flush=True)
+
+
 def rulings(text: str, word: str) -> dict[tuple[str, str, str], float]:
     """Read when (s of the day) each ruling of a log was made, or heard."""
     found: dict[tuple[str, str, str], float] = {}
@@ -89,11 +128,13 @@
     if words.rulings:
         await verdicts(words.rulings)
     await limits(words.rounds, words.only)
+    await relays(words.relays, words.only)
 
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--rulings", type=int, default=12)
+    parser.add_argument("--relays", type=int, default=0, help="rounds of relays out under a cap")
     parser.add_argument("--only", default="", help="play the faults whose name holds this")
     anyio.run(main, parser.parse_args(), backend="asyncio")
--- a/bench/limits_model.py
+++ b/bench/limits_model.py
@@ -18,7 +18,7 @@
 from bench.cpu import settings
 from bench.fleet_model import Fleet
 from cometseam import interface as i
-from cometseam.limits import Coordinator, Grant, Share, Sharing
+from cometseam.limits import Coordinator, Grant, Part, Share, Sharing
 from cometseam.logic import Front
 from cometseam.routing import shares
 
@@ -45,9 +45,9 @@
         if relay.cache == COLD:
             module = self.fronts[front]
             server = module.servers[COLD]
-            kept, server.granted = server.granted, (1.0, float("inf"))
+            kept, server.part = server.part, Part(1.0)
             whole = module.cold(server)
-            server.granted = kept
+            server.part = kept
             if whole:
                 self.seen_cold.at.append((self.now, whole / SENDING))
         super()._relay(front, relay)
--- a/cometseam/coordination/sharing.py
+++ b/cometseam/coordination/sharing.py
@@ -8,7 +8,8 @@
                                            coordinator must find what may still be in force
 
 A process has a name of its own at each start (a front that was restarted is another): its asks count from 1,
-and nothing that was granted before its start is its own. It asks only while some cache is cold.
+and nothing that was granted before its start is its own. It asks only while some cache is cold, or, where
+relays out are capped, while it uses some.
 """
 
 import json
@@ -32,7 +33,7 @@
 MOST = 1 << 20  # bytes of an ask or a grant
 
 Wishes = Callable[[], dict[str, dict[str, float]]]  # by group and limit
-Granted = Callable[[str, float, float], None]  # limit, part, for how long (ms)
+Granted = Callable[[str, str, float, float], None]  # group, limit, part, for how long (ms)
 
 
 def write_ask(ask: Ask) -> bytes:
@@ -161,11 +162,11 @@
                 part, ends = share.may(name, now), share.ends(name, now)
                 if self._told.get((group, name)) != (part, ends):
                     self._told[group, name] = (part, ends)
-                    self.granted(name, part, max(ends - now, 0.0))
+                    self.granted(group, name, part, max(ends - now, 0.0))
             names = set(share.names())
             for key in [key for key in self._told if key[0] == group and key[1] not in names]:
                 del self._told[key]
-                self.granted(key[1], share.terms.floor, 0.0)  # as without a grant: an equal part
+                self.granted(*key, share.terms.floor, 0.0)  # as without a grant: an equal part
 
     # The coordinator's side
 
--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -303,15 +303,25 @@
 class Granted:
     """This front's part (0 to 1) of what a cold cache bears from all fronts, for `lasts` ms from now.
 
-    Past that it goes by the lesser of this and an equal part, until it is told anew.
+    Or, with `relays`, of how many relays they may have out there (`Capped`). Past that it goes by the lesser
+    of this and an equal part, until it is told anew.
     """
 
     cache: int
     part: float
     lasts: float
+    relays: bool = False
 
 
-Fleet = Judged | Granted  # what the fleet tells
+@dataclass(frozen=True, slots=True)
+class Capped:
+    """How many relays all fronts that send there may have out at one cache, and at one parent; 0: any."""
+
+    caches: float
+    parents: float
+
+
+Fleet = Judged | Granted | Capped  # what the fleet tells
 Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged | Plans | Eased | Fleet
 
 
--- /dev/null
+++ b/cometseam/limits/part.py
@@ -0,0 +1,37 @@
+"""This front's part of one shared limit, as its decisions hold it; without I/O."""
+
+
+class Part:
+    """A part that was granted for a time, then the lesser of that and an equal part (0 to 1; times in ms).
+
+    What is granted to nobody else stays the equal part's: without any grant a front goes by that. Empties
+    itself: one number and its end, whatever was granted before.
+    """
+
+    __slots__ = ("barred", "equal", "granted", "peak", "until")
+
+    def __init__(self, equal: float) -> None:
+        """`equal`: what each front has where nobody shares the limit out."""
+        self.equal, self.granted, self.until = equal, float("inf"), 0.0
+        self.barred, self.peak = 0, 0.0  # sends barred, and the most used, since this was last asked
+
+    def take(self, part: float, lasts: float, now: float) -> None:
+        """Take a grant in. Never 0: what divides by a part, or reads 0 as no limit, must not be misled."""
+        self.granted, self.until = max(part, 1e-9), now + lasts
+
+    def at(self, now: float) -> float:
+        """Tell the part that this front may use."""
+        return self.granted if now < self.until else min(self.granted, self.equal)
+
+    def fits(self, used: float, whole: float, now: float) -> bool:
+        """Tell whether this front may use so much of a limit; what was barred counts for its wish."""
+        well = used <= whole * self.at(now)
+        self.barred += not well
+        self.peak = max(self.peak, used) if well else self.peak
+        return well
+
+    def anew(self) -> tuple[bool, float]:
+        """Return whether sends were barred and the most that was used since the last call; forget both."""
+        told = self.barred > 0, self.peak
+        self.barred, self.peak = 0, 0.0
+        return told
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -12,11 +12,12 @@
 from typing import NamedTuple
 
 from cometseam.interface import (
-    Action, Eased, Effect, Ended, Error, Event, Granted, Group, HungUp, Judged, Lagged, Lifecycle, Listed,
-    ListKind, Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed, Wake, Watch,
-    Workload,
+    Action, Capped, Eased, Effect, Ended, Error, Event, Granted, Group, HungUp, Judged, Lagged, Lifecycle,
+    Listed, ListKind, Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed,
+    Wake, Watch, Workload,
 )  # fmt: skip
 from cometseam.levels import Easing
+from cometseam.limits import Part
 from cometseam.timing import Ledger, goes_on, times, wait
 
 TRACKED, GAPS = 6000, 6  # objects' parts whose requests are remembered, and gaps for each of them
@@ -85,14 +86,14 @@
 class Server:
     """One start of a cache, a parent or the origin, as this front knows it."""
 
-    def __init__(self, told: Listed, weight: float, limit: Limit) -> None:
+    def __init__(self, told: Listed, weight: float, limit: Limit, equal: float) -> None:
         self.told, self.weight, self.started = told, weight, told.ready_at
         self.load, self.credit, self.strikes = limit, FIRST_CREDIT, 0
         self.answered = self.sick_until = 0.0
         self.loss = self.errs = 0.0  # share of what it kept that looks find gone, and of errors, lately
         self.lost, self.pace = 0.0, 1.0  # share of looks not answered while it was well, and its pace, lately
         self.paced_at = float("-inf")  # when a fill through it last told that
-        self.granted, self.barred = (float("inf"), 0.0), 0  # the fleet's grant, its end; sends barred
+        self.part, self.relays = Part(equal), Part(equal)  # of what it bears cold; of relays out there
         self.spent: deque[list[float]] = deque()  # [time, work] sent; what is older than a window leaves
 
 
@@ -172,6 +173,7 @@
         self.mean_sending = [workload.quoted for workload in settings.workloads]
         self.purged: dict[tuple[int, int], tuple[float, float]] = {}  # made, void; a new one clears these
         self.plans, self.easing = Ledger(Plans(())), Easing(self.random)
+        self.caps = (0.0, 0.0)  # relays that the fleet may have out at a cache, at a parent; 0: any
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take in one event and tell what to do."""
@@ -197,8 +199,10 @@
                 if not event.bad or server.answered < now - event.age:
                     server.sick_until, server.strikes = now + event.rest, server.strikes or int(event.bad)
             case Granted() if event.cache in self.servers:
-                # Never 0: a budget of 0 stands for a warm cache, which bears all.
-                self.servers[event.cache].granted = (max(event.part, 1e-9), now + event.lasts)
+                server = self.servers[event.cache]
+                (server.relays if event.relays else server.part).take(event.part, event.lasts, now)
+            case Capped():
+                self.caps = (event.caches, event.parents)
             case HungUp() if event.id in self.held:
                 held = self.held[event.id]
                 held.open = False
@@ -249,7 +253,8 @@
             self.servers[entry.cache] = known
             return
         limit = weight if self.settings.sized else UNSIZED_LIMIT
-        fresh = Server(entry, weight, Limit(limit / self.sharing(entry), self.lasts))
+        sharing = self.sharing(entry)
+        fresh = Server(entry, weight, Limit(limit / sharing, self.lasts), 1.0 / sharing)
         fresh.spent = known.spent if known else fresh.spent  # what it got before its start was told counts
         self.servers[entry.cache] = fresh
 
@@ -427,6 +432,9 @@
         # Drains are kept: only what the list has as ready is in the table.
         if any(self.servers.get(server.told.cache) is not server for server in (target, source)):
             return False
+        # The fleet has no more out at one cache than its cap: this front keeps to its part.
+        if any(self._capped(server) for server in {target: 0, source: 0}):
+            return False
         # Cold caches are not pushed over.
         mean = self.mean_sending[pull.workload]
         work = held.sending or mean  # a cache counts each ask at its workload's mean, a parent at its size
@@ -510,9 +518,8 @@
         if server.started <= 0 or age >= warm_after or told.kind == s.origin_kind:
             return 0.0
         share = cold_from + (1.0 - cold_from) * max(age - s.fall_time, 0.0) / warm_after
-        whole, (granted, until) = COLD_PART * multiple * share * server.weight * s.fall_time, server.granted
-        equal = whole / self.sharing(told)
-        return whole * granted if self.now < until else min(whole * granted, equal)  # the rest may be lent
+        whole = COLD_PART * multiple * share * server.weight * s.fall_time
+        return whole * server.part.at(self.now)  # the rest may be lent
 
     def _fits(self, server: Server, work: float) -> bool:
         """Tell whether a cold server's budget holds this much more."""
@@ -520,9 +527,14 @@
             server.spent.popleft()
         budget = self.cold(server)
         fits = not budget or sum(entry[1] for entry in server.spent) + work <= budget
-        server.barred += not fits
+        server.part.barred += not fits
         return fits
 
+    def _capped(self, server: Server) -> bool:
+        """Tell whether one more relay out at a cache or parent would pass this front's part of the cap."""
+        whole = self.caps[server.told.kind == self.settings.parent_kind] if server is not self.origin else 0.0
+        return whole > 0.0 and not server.relays.fits(server.load.out + 1, whole, self.now)
+
     def _answer(self, held: Held) -> None:
         """Give the final answer: shed where trying again is harmless, else errored."""
         held.open, workload, s = False, held.workload, self.settings
--- a/cometseam/operator/compile.py
+++ b/cometseam/operator/compile.py
@@ -59,7 +59,7 @@
         self._routes()
         self._fallbacks()
         self.scheme = read_levels(file.levels, platform, self.file.routes, self._complain)
-        self.fleet = fleet.check(file.fleet, self._complain)
+        self.fleet = fleet.check(file.fleet, platform.settings, self._complain)
 
     def _complain(self, path: Path, reason: str) -> None:
         if (path, reason) not in self._told:
--- a/cometseam/operator/fleet.py
+++ b/cometseam/operator/fleet.py
@@ -9,6 +9,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
+from cometseam.interface import Settings
 from cometseam.limits import Refused as NotShared
 from cometseam.limits import Sharing
 from cometseam.operator.schema import FleetForm
@@ -33,9 +34,12 @@
     limits: tuple[float, float] | None = None  # refresh and lasts of grants; None: nothing is shared out
     drift: float = 0.01
     spread_ms: float | None = None  # the longest wait before a campaign; None: half of the shortest renewal
+    relays: tuple[float, float] | None = None  # the fleet's out at one cache, at one parent; 0: any
 
 
-def check(form: FleetForm | None, complain: Callable[[Path, str], None]) -> dict[str, Any] | None:
+def check(
+    form: FleetForm | None, settings: Settings, complain: Callable[[Path, str], None]
+) -> dict[str, Any] | None:
     """Return plain values for `read`, or None where the file names no fleet; what is wrong is told."""
     if form is None:
         return None
@@ -64,7 +68,8 @@
     probing = _probing(form, tasks, complain)
     if form.log is not None and LIST not in form.tasks:
         complain(("fleet", "log"), f"fleet.tasks has no {LIST!r}: nobody would read the log for the others")
-    _limits(form, complain)
+    _limits(form, settings, complain)
+    relays = form.limits.relays if form.limits is not None else None
     return {
         "service": form.service,
         "refresh_ms": form.refresh,
@@ -74,10 +79,11 @@
         "limits": None if form.limits is None else [form.limits.refresh, form.limits.lasts],
         "drift": form.drift,
         "spread_ms": form.spread,
+        "relays": None if relays is None else [float(relays.caches or 0), float(relays.parents or 0)],
     }
 
 
-def _limits(form: FleetForm, complain: Callable[[Path, str], None]) -> None:
+def _limits(form: FleetForm, settings: Settings, complain: Callable[[Path, str], None]) -> None:
     told = form.limits
     if told is None:
         return
@@ -91,6 +97,17 @@
     except NotShared as refused:
         term, _, reason = str(refused).partition(": ")
         complain((*path, term), reason)
+    if told.relays is not None:
+        # A front without a grant has an equal part; where that is below one relay it could send nothing.
+        most_here = max(settings.fronts_by_zone, default=1)
+        for key, cap, fronts in (
+            ("caches", told.relays.caches, most_here), ("parents", told.relays.parents, settings.fronts)
+        ):  # fmt: skip
+            if cap is not None and cap < fronts:
+                complain(
+                    (*path, "relays", key),
+                    f"{cap} among {fronts} fronts leaves a front without a grant less than one relay",
+                )
 
 
 def _probing(form: FleetForm, tasks: dict[str, Terms], complain: Callable[[Path, str], None]) -> Probing:
@@ -133,4 +150,5 @@
         tuple(values["limits"]) if values["limits"] else None,
         values["drift"],
         values["spread_ms"],
+        tuple(values["relays"]) if values.get("relays") else None,
     )
--- a/cometseam/operator/schema.py
+++ b/cometseam/operator/schema.py
@@ -365,11 +365,19 @@
     bound: Annotated[Duration, Field(ge=2500.0)] = 4000.0
 
 
+class RelaysForm(Strict):
+    """How many relays all fronts that send there may have out at one cache, and at one parent."""
+
+    caches: Annotated[Whole, Field(ge=1, le=1_000_000)] | None = None
+    parents: Annotated[Whole, Field(ge=1, le=1_000_000)] | None = None
+
+
 class LimitsForm(Strict):
     """What cold caches bear is shared out among the fronts by the holder of the task `limits`."""
 
     refresh: Annotated[Duration, Field(ge=50.0)] = 500.0
     lasts: Annotated[Duration, Field(ge=200.0)] = 3000.0
+    relays: RelaysForm | None = None
 
 
 class FleetForm(Strict):
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -103,12 +103,13 @@
     terms = read(compiled.fleet)
     shares = None
     if terms.limits is not None:
-        from cometseam.routing.shares import PARENTS, groups
+        from cometseam.routing.shares import groups, own
 
         zones, settings = config.names.zones, config.settings
-        found = groups(settings, zones, *terms.limits, terms.drift)
-        mine = {PARENTS, zones[settings.zone]} & found.keys()
-        shares = (found, mine, router.wishes, router.grant)
+        found = groups(settings, zones, *terms.limits, terms.drift, terms.relays is not None)
+        shares = (found, own(settings, zones, found), router.wishes, router.grant)
+        if terms.relays is not None:
+            router.cap(*terms.relays)
     return Party(terms, config.name, boot_time, router.addresses, judged, log, shares).run
 
 
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -96,14 +96,15 @@
 
 @dataclass(slots=True)
 class Grant:
-    """This front's part of what a cold cache bears; see `interface.Granted`."""
+    """This front's part of what a cold cache bears, or of relays out there; see `interface.Granted`."""
 
     cache: str
     part: float
     lasts: float
+    relays: bool
 
 
-Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan | Judge | Grant
+Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan | Judge | Grant | i.Capped
 
 
 class Router:
@@ -171,20 +172,28 @@
         """Take in a verdict of the fleet on a cache; one on a cache that is not listed is passed over."""
         self._mailbox.put_urgent(Judge(cache, bad, rest, age))  # as many as there are caches, a few a minute
 
-    def grant(self, cache: str, part: float, lasts: float) -> None:
-        """Take in this front's part of what a cold cache bears from all fronts."""
-        self._mailbox.put_urgent(Grant(cache, part, lasts))  # as many as there are cold caches, each refresh
+    def grant(self, group: str, cache: str, part: float, lasts: float) -> None:
+        """Take in this front's part of what a cold cache bears from all fronts, or of relays out there."""
+        relays = group.endswith(":relays")
+        # As many as there are cold caches, or capped ones, each refresh.
+        self._mailbox.put_urgent(Grant(cache, part, lasts, relays))
+
+    def cap(self, caches: float, parents: float) -> None:
+        """Have the fleet's relays out at one cache, and at one parent, held to so many; 0: any."""
+        self._mailbox.put_urgent(i.Capped(caches, parents))  # once
 
     def wishes(self) -> dict[str, dict[str, float]]:
-        """Return which part of what each cold cache bears this front wishes for, by group of fronts."""
+        """Return which part of each shared limit this front wishes for, by group of fronts and cache."""
         from cometseam.routing import shares  # only where limits are shared
 
         found: dict[str, dict[str, float]] = {}
-        for cache, wish in shares.wishes(self._front, self._around.clock.now()).items():
-            line = self._roster.get(cache)
-            if line is not None:
-                group = shares.group(self._front, cache, self._names.zones)
-                found.setdefault(group, {})[line.name] = wish
+        now = self._around.clock.now()
+        for what, wishes in (("", shares.wishes), (shares.RELAYS, shares.relays)):
+            for cache, wish in wishes(self._front, now).items():
+                line = self._roster.get(cache)
+                if line is not None:
+                    group = shares.group(self._front, cache, self._names.zones) + what
+                    found.setdefault(group, {})[line.name] = wish
         return found
 
     def addresses(self) -> dict[str, tuple[str, int]]:
@@ -244,7 +253,7 @@
                     COUNTERS.add("pull.hung_up")
                     self._settle(pull, "hung_up")
                     self._decide(i.HungUp(pull.number))
-            case i.Rang():
+            case i.Rang() | i.Capped():
                 self._decide(message)
             case i.Lagged():
                 self._decide(message)
@@ -259,7 +268,7 @@
             case Grant():
                 number = self._roster.number(message.cache)
                 if number is not None:
-                    self._decide(i.Granted(number, message.part, message.lasts))
+                    self._decide(i.Granted(number, message.part, message.lasts, message.relays))
             case Replan():  # between two events: no pull sees half of the old routes and half of the new
                 self._table = message.compiled.table
                 self._decide(message.compiled.plans)
--- a/tests/standins/caches.py
+++ b/tests/standins/caches.py
@@ -65,6 +65,7 @@
         self.given_up: Counter[int] = Counter()
         self.relays: dict[str, list[tuple[float, int]]] = {}  # by id: when and where
         self.most_out = 0
+        self.levels: list[tuple[float, int, int]] = []  # at each relay: when, where, how many are out there
         self._selector = selectors.DefaultSelector()
         self._order = count()
         self._due: list[tuple[float, int, Link, str, bytes]] = []
@@ -151,6 +152,8 @@
             self.two_out.append(f"{id}: at cache {self.out[id][0]} and at cache {link.cache}")
         self.out[id] = (link.cache, link.sock)
         self.most_out = max(self.most_out, len(self.out))
+        there = sum(cache == link.cache for cache, _ in self.out.values())
+        self.levels.append((time.monotonic(), link.cache, there))
         self.relays.setdefault(id, []).append((time.monotonic(), link.cache))
         self.asked[link.cache] += 1
         if link.cache in self.silent:
--- a/tests/standins/fronts.py
+++ b/tests/standins/fronts.py
@@ -16,7 +16,7 @@
 from anyio.abc import Process
 
 from tests.drive import World, world
-from tests.standins.caches import Answer, Caches
+from tests.standins.caches import Answer, Behave, Caches
 from tests.standins.faults import Proxy
 from tests.standins.fleet import start_etcd
 
@@ -24,7 +24,7 @@
   tasks: { probe: { ttl: '1s', margin: '250ms', renew: '200ms' },
            list: { ttl: '1s', margin: '250ms', renew: '200ms' } }, log: { bound: '2500ms' },
   probing: { interval: '100ms', within: '60ms', fails: 2, passes: 2, lasts: '%dms' } } }"""
-LIMITS = """limits: { refresh: '200ms', lasts: '1s' },
+LIMITS = """limits: { refresh: '200ms', lasts: '1s'%s },
   tasks+: { limits: { ttl: '1s', margin: '250ms', renew: '200ms' } }"""
 STATE = rb"fleet: %s: (\w+), token (\d+): "
 WINDOW = 3.0  # s over which what a cold cache gets counts: the sample's overloadFor
@@ -114,15 +114,20 @@
 
 @asynccontextmanager
 async def fronts(
-    count: int, names: tuple[str, ...], lasts_ms: int = 2000, limits: bool = False, expected: int = 1
-) -> AsyncIterator[Fronts]:
-    """`count` fronts on the same caches, `cache-1` and `names`; each is told of `expected` fronts."""
+    count: int, names: tuple[str, ...], lasts_ms: int = 2000, limits: bool = False, expected: int = 1,
+    relays: int = 0, behave: Behave = well,
+) -> AsyncIterator[Fronts]:  # fmt: skip
+    """`count` fronts on the same caches, `cache-1` and `names`; each is told of `expected` fronts.
+
+    `relays`: how many the fleet may have out at one cache; 0: any.
+    """
+    cap = f", relays: {{ caches: {relays} }}" if relays else ""
 
     def prepare(front: World) -> None:
         told = front.config["settings"]
         told["balancers"], told["familyInfo"]["instancesByZone"] = expected, [0, 0, expected]
 
-    with tempfile.TemporaryDirectory() as folder, Caches(1 + len(names), well) as caches:
+    with tempfile.TemporaryDirectory() as folder, Caches(1 + len(names), behave) as caches:
         wal = str(Path(folder) / "etcd.wal")
         etcd, port = await start_etcd(wal)
         here = Fronts(caches, etcd, port, wal)
@@ -139,7 +144,7 @@
                     file.write_text(FILE % (link.port, lasts_ms))
                     if limits:
                         more = file.with_name("limits.jsonnet")
-                        more.write_text("(import 'operator.jsonnet') + { fleet+: { " + LIMITS + " } }")
+                        more.write_text("(import 'operator.jsonnet') + { fleet+: { " + LIMITS % cap + " } }")
                         file = more
                     front = await here.stack.enter_async_context(
                         world(place, *names, operator=file, at=at, patience=90.0, name=f"front-{number}",
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -330,3 +330,50 @@
     assert tail.told() == [500] and tail.polls == 2
     tail.add([(501, 300 << 10, 501)])
     assert tail.told() == [] and tail.size == 0
+
+
+# Relays out at a cache, capped for the fleet
+
+
+def out_at(drive: Drive, cache: int) -> int:
+    return drive.front.servers[cache].load.out
+
+
+def test_a_front_keeps_to_its_part_of_the_relays_that_the_fleet_may_have_out() -> None:
+    drive = Drive(caches=(12, 21, 31))  # one front in the zone of 12, two that share parent 21
+    drive.tell(i.Capped(3.0, 0.0))
+    for number in range(1, 6):
+        drive.pull(number)
+    assert out_at(drive, 12) == 3 and drive.front.servers[12].relays.anew() == (True, 3.0)
+    drive.tell(i.Granted(12, 0.34, 500.0, relays=True))  # 1.02 of three
+    drive.end(1)
+    drive.end(2)
+    drive.pull(6)
+    assert out_at(drive, 12) == 1 and 6 not in drive.last
+    drive.end(3)
+    drive.pull(7)
+    assert out_at(drive, 12) == 1 and 7 in drive.last
+    drive.pull(8, after=600.0)  # the grant is over: the lesser of it and an equal part
+    assert out_at(drive, 12) == 1 and 8 not in drive.last
+    drive.tell(i.Granted(12, 1.0, 500.0, relays=True))
+    drive.pull(9)
+    assert out_at(drive, 12) == 2
+
+
+def test_a_cap_holds_for_parents_as_sources_and_never_for_the_origin() -> None:
+    drive = Drive(caches=(11, 21, 31))
+    drive.tell(i.Capped(0.0, 2.0))  # two fronts: one relay each
+    for number in range(1, 4):
+        drive.pull(number, wanted=number)
+        drive.lack(number)
+    sources = [drive.last[number].source for number in range(1, 4)]
+    assert sources == [21, 31, 31] and out_at(drive, 21) == 1
+    assert drive.front.servers[31].relays.peak == 0.0
+
+
+def test_without_a_cap_nothing_is_held_back() -> None:
+    drive = Drive(caches=(12, 21, 31))
+    drive.tell(i.Granted(12, 0.0, 500.0, relays=True))
+    for number in range(1, 6):
+        drive.pull(number)
+    assert out_at(drive, 12) == 5
--- a/tests/test_fleet_fronts.py
+++ b/tests/test_fleet_fronts.py
@@ -180,15 +180,26 @@
     assert again.fleet is not None and again.fleet == loaded.compiled.fleet
     terms = read_fleet(again.fleet)
     assert set(terms.tasks) == {"probe", "list", "limits"} and terms.limits == (500.0, 3000.0)
+    assert terms.relays == (400.0, 800.0)
     assert terms.log_bound_ms == 4000.0 and terms.probing.lasts == 6000.0
 
 
-def refused(folder: Path, tasks: str, more: str = "", service: str = "127.0.0.1:2379") -> str:
+def refused(
+    folder: Path, tasks: str, more: str = "", service: str = "127.0.0.1:2379", fronts: int = 1
+) -> str:
     """Return the faults of a file with such a fleet."""
     from cometseam.operator.compiled import Refused
 
     path = folder / "operator.jsonnet"
     path.write_text(f"{{ version: 1, fleet: {{ service: '{service}', {more} tasks: {{ {tasks} }} }} }}")
     with pytest.raises(Refused) as caught:
-        load(path, SAMPLE["settings"])
+        load(path, {**SAMPLE["settings"], "balancers": fronts})
     return "\n".join(str(fault) for fault in caught.value.faults)
+
+
+def test_a_cap_that_leaves_a_front_without_a_grant_no_relay_is_refused_at_load(tmp_path: Path) -> None:
+    task = "limits: { ttl: '1s', margin: '250ms', renew: '200ms' }"
+    more = "limits: {{ relays: {{ caches: {0}, parents: {0} }} }},"
+    told = refused(tmp_path, task, more.format(2), fronts=3)
+    assert "relays.parents: 2 among 3 fronts leaves a front without a grant less than one relay" in told
+    assert "nobody would share anything out" in refused(tmp_path, "", more.format(8))
--- a/tests/test_limits_fronts.py
+++ b/tests/test_limits_fronts.py
@@ -123,10 +123,15 @@
     await here.split_service([0])
 
 
-async def most_restarted(here: Fronts) -> None:
-    """Two of three fronts are killed at once, and ask on as soon as they are up."""
+async def restarted(here: Fronts) -> None:
+    """Two of three fronts are killed at once and come back."""
     await anyio.sleep(2.5)
     await here.restart([0, 1])
+
+
+async def most_restarted(here: Fronts) -> None:
+    """They ask on as soon as they are up."""
+    await restarted(here)
     async with anyio.create_task_group() as tasks:
         for place in (0, 1):
             tasks.start_soon(ask, here, place, lambda at: 100.0, 4.0, 500_000)
--- /dev/null
+++ b/tests/test_relays_fronts.py
@@ -0,0 +1,92 @@
+"""Real fronts share out how many relays they have out at one cache: the stand-in counts what is out there
+from all of them together, by its own record, with faults between the processes and the service.
+"""
+
+import time
+from itertools import count
+
+import anyio
+import pytest
+
+from tests.drive import order
+from tests.standins.caches import Answer
+from tests.standins.fronts import COPY, Fronts, fronts
+from tests.test_limits_fronts import (
+    FRONTS,
+    NAMES,
+    Fault,
+    all_links_cut,
+    coordinator_killed,
+    hot_link_cut,
+    nothing,
+    service_split,
+)
+
+pytestmark = pytest.mark.anyio
+CAP = 6  # relays out at one cache: two for each front in equal parts
+HOT, COOL = 24, 1  # clients that wait on the hot front, and on each of the others
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+def at_pace(cache: int, id: str, fields: dict[str, str], asked: int) -> Answer:
+    """Answer after the 250 ms of sending that the pull's size takes."""
+    return 0.25, "DONE", f"{COPY},rep=util:0.5;x1:0.5", b"x"
+
+
+async def wait_on(here: Fronts, place: int, client: int, turn: float, length: float) -> None:
+    """One client that asks, waits for the answer and asks again; the hot front changes every `turn` s."""
+    began, numbers = time.monotonic(), count(1)
+    while time.monotonic() - began < length:
+        try:
+            caller = await here.worlds[place].call()
+            while (passed := time.monotonic() - began) < length:
+                hot = int(passed / turn) % FRONTS if turn else 0
+                if client >= (HOT if place == hot else COOL):
+                    await anyio.sleep(0.05)
+                    continue
+                number = next(numbers)
+                txn = f"{place + 1:04x}{client:04x}{number:08x}"
+                item = f"{((place * 64 + client) * 7919 + number) * 2654435761 % (1 << 64):016x}"
+                await caller.send(order(number, txn=txn, item=item, ram="875"))
+                if (await caller.next()).code != 0:
+                    await anyio.sleep(0.1)
+        except (OSError, anyio.BrokenResourceError, anyio.IncompleteRead, anyio.EndOfStream):
+            await anyio.sleep(0.2)  # the front was killed, that is the test's doing; perhaps it comes back
+
+
+async def play(cap: int, fault: Fault, length: float = 7.0, turn: float = 0.0) -> Fronts:
+    """Have clients wait on three fronts, throw the fault; the caches keep the record."""
+    async with fronts(FRONTS, NAMES, limits=True, expected=FRONTS, relays=cap, behave=at_pace) as here:
+        await here.probing(task="limits")
+        here.cold_at = time.monotonic()
+        async with anyio.create_task_group() as tasks:
+            for place in range(FRONTS):
+                for client in range(HOT):
+                    tasks.start_soon(wait_on, here, place, client, turn, length)
+            tasks.start_soon(fault, here)
+        return here
+
+
+def most(here: Fronts, after: float = 0.0) -> int:
+    """The most that was out at one cache from all fronts."""
+    return max(out for at, _, out in here.caches.levels if at - here.cold_at >= after)
+
+
+async def test_a_hot_front_has_more_out_than_an_equal_part_and_the_fleet_no_more_than_the_cap() -> None:
+    here = await play(CAP, nothing)
+    assert most(here) <= CAP and most(here, after=3.0) >= 4  # equal parts: two, and one of each other front
+
+
+async def test_without_a_cap_the_fleet_has_more_out() -> None:
+    here = await play(0, nothing, 4.0, turn=1.0)
+    assert most(here) > CAP
+
+
+@pytest.mark.parametrize("fault", [coordinator_killed, hot_link_cut, all_links_cut, service_split])
+async def test_no_cache_has_more_than_the_cap_out_while_demand_moves_under(fault: Fault) -> None:
+    here = await play(CAP, fault, 8.0, turn=2.0)
+    assert most(here) <= CAP
