Share out the further relays of a budget among all fronts; wishes that fall slowly

Now every capped limit is asked for, and a wish falls by a fifth an ask (Part.steady). Also: a relay never outlasts its workload's cut-off, which the window of relays out counts on.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -4,11 +4,11 @@
 real fronts in any window of 3 s, as a part of its limit; with the limit shared out and in equal parts, in
 turns. And verdicts: how long after the prober ruled each other front heard it, by the fronts' own logs.
 
-And relays out at one cache at once, under a cap for the fleet: the most, and the mean of what was out at the
-hot front's turn, with the cap shared out and in equal parts (no front reaches the service).
+And relays out at one cache at once, and further relays in a second, under a cap for the fleet: the most and
+the mean by the cap, with it shared out and in equal parts (no front reaches the service).
 
     python -m bench.limits --rounds 2 --rulings 12
-    python -m bench.limits --rounds 0 --rulings 0 --relays 1
+    python -m bench.limits --rounds 0 --rulings 0 --relays 1 --retries 1
 """
 
 import argparse
@@ -20,6 +20,7 @@
 
 from tests import test_limits_fronts as played
 from tests import test_relays_fronts as capped
+from tests import test_retries_fronts as allowed
 from tests.standins.fronts import Fronts, fronts, over_limit
 
 FAULTS = {
@@ -71,17 +72,43 @@
 
 async def relays(rounds: int, only: str) -> None:
     """Play each fault with the cap shared out, and, where there is none, in equal parts, in turns."""
-    print("fault | way | most out at a cache, by the cap | mean from 3 s on, by the cap | relays a second")
+    print("fault | way | most out at a cache, by the cap | mean from 5 s on, by the cap | relays a second")
     for name, (turn, fault) in RELAYS.items():
         for _ in range(rounds if only in name else 0):
             ways = {"shared": fault}
             if fault is played.nothing:
                 ways["equal parts"] = links_cut_from_the_start
             for way, thrown in ways.items():
-                here = await capped.play(capped.CAP, thrown, 9.0, turn)
-                late = [out for at, _, out in here.caches.levels if at - here.cold_at >= 3.0]
+                here = await capped.play(capped.CAP, thrown, 10.0, turn)
+                late = [out for at, _, out in here.caches.levels if at - here.cold_at >= 5.0]
                 most, mean = capped.most(here) / capped.CAP, fmean(late or [0.0]) / capped.CAP
-                print(f"{name} | {way} | {most:.2f} | {mean:.2f} | {len(late) / 6.0:.0f}", flush=True)
+                print(f"{name} | {way} | {most:.2f} | {mean:.2f} | {len(late) / 5.0:.0f}", flush=True)
+
+
+RETRIES = {
+    "one front hot": played.nothing,
+    "coordinator killed": played.coordinator_killed,
+    "coordinator paused, wakes late": played.coordinator_paused,
+    "the hot front's link cut": played.hot_link_cut,
+    "all links cut for 3 grants": played.all_links_cut,
+    "service frozen 2 s": played.service_frozen,
+    "service split in two": played.service_split,
+}
+
+
+async def retries(rounds: int, only: str) -> None:
+    """The same of further relays in an outage: one front has nearly all that is asked."""
+    print("fault | way | most further relays in a second, by what the fleet may | mean from 5 s on")
+    for name, fault in RETRIES.items():
+        for _ in range(rounds if only in name else 0):
+            ways = {"shared": fault}
+            if fault is played.nothing:
+                ways["equal parts"] = links_cut_from_the_start
+            for way, thrown in ways.items():
+                counts = allowed.further(await allowed.play(allowed.ALLOWED, thrown, 10.0))
+                late = [count for at, count in counts if at >= 5.0]
+                most = max((count for _, count in counts), default=0) / allowed.ALLOWED
+                print(f"{name} | {way} | {most:.2f} | {fmean(late or [0.0]) / allowed.ALLOWED:.2f}", flush=True)
 
 
 def rulings(text: str, word: str) -> dict[tuple[str, str, str], float]:
@@ -129,6 +156,7 @@
         await verdicts(words.rulings)
     await limits(words.rounds, words.only)
     await relays(words.relays, words.only)
+    await retries(words.retries, words.only)
 
 
 if __name__ == "__main__":
@@ -136,5 +164,6 @@
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--rulings", type=int, default=12)
     parser.add_argument("--relays", type=int, default=0, help="rounds of relays out under a cap")
+    parser.add_argument("--retries", type=int, default=0, help="rounds of further relays in an outage")
     parser.add_argument("--only", default="", help="play the faults whose name holds this")
     anyio.run(main, parser.parse_args(), backend="asyncio")
--- a/cometseam/cli/show.py
+++ b/cometseam/cli/show.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from cometseam.interface import Kind, Plan
+from cometseam.interface import Allowance, Kind, Plan
 from cometseam.operator.compile import ANYWHERE, Compiler, Entry
 from cometseam.operator.load import Loaded
 from cometseam.operator.networks import told as addresses
@@ -36,15 +36,16 @@
     out["second"] = f"after {second.base:g}ms + {second.part:g} of its sending time" if second else "none"
     out["retry_on"] = "all" if plan.worth is None else ", ".join(sorted(NAMES[word] for word in plan.worth))
     terms = plan.allowance
-    out["budget"] = (
-        f"{terms.name}: {terms.share:g} of first relays in {terms.window:g}ms, {terms.floor:g} at least"
-        if terms
-        else "none"
-    )
+    out["budget"] = f"{terms.name}: {_allows(terms)}" if terms else "none"
     out["later"] = f"{plan.come_back_in:g}ms" if plan.come_back_in else "the workload's quoted time"
     return out
 
 
+def _allows(terms: Allowance) -> str:
+    fleet = f", the fleet {terms.fleet:g} at most" if terms.fleet else ""
+    return f"{terms.share:g} of first relays in {terms.window:g}ms, {terms.floor:g} at least{fleet}"
+
+
 def _from(entry: Entry, key: str) -> str:
     while key:
         if key in entry.origins:
@@ -108,9 +109,7 @@
         theirs = plans.networks[network] if network >= 0 else None
         for terms in (plans.front, theirs, plan.allowance):
             if terms is not None:
-                budgets[terms.name] = (
-                    f"{terms.share:g} of first relays in {terms.window:g}ms, {terms.floor:g} at least"
-                )
+                budgets[terms.name] = _allows(terms)
     return {
         "route": compiler.entries[found].name if found >= 0 else None,
         "passed_over": passed,
--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -143,6 +143,7 @@
     share: float  # further relays for each first one
     window: float  # ms
     floor: float  # further relays in a window whatever the share comes to
+    fleet: float = 0.0  # and at most so many in a window from all fronts together; 0: any
 
 
 @dataclass(frozen=True, slots=True)
@@ -321,7 +322,19 @@
     parents: float
 
 
-Fleet = Judged | Granted | Capped  # what the fleet tells
+@dataclass(frozen=True, slots=True)
+class Allotted:
+    """This front's part (0 to 1) of the further relays that a budget allows the fleet, for `lasts` ms.
+
+    Past that it goes by the lesser of this and an equal part, until it is told anew.
+    """
+
+    budget: str
+    part: float
+    lasts: float
+
+
+Fleet = Judged | Granted | Capped | Allotted  # what the fleet tells
 Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged | Plans | Eased | Fleet
 
 
--- a/cometseam/limits/part.py
+++ b/cometseam/limits/part.py
@@ -1,5 +1,7 @@
 """This front's part of one shared limit, as its decisions hold it; without I/O."""
 
+FALL = 0.8  # of the last wish that is left at most one ask later
+
 
 class Part:
     """A part that was granted for a time, then the lesser of that and an equal part (0 to 1; times in ms).
@@ -8,12 +10,13 @@
     itself: one number and its end, whatever was granted before.
     """
 
-    __slots__ = ("barred", "equal", "granted", "peak", "until")
+    __slots__ = ("barred", "equal", "granted", "peak", "until", "wished")
 
     def __init__(self, equal: float) -> None:
         """`equal`: what each front has where nobody shares the limit out."""
         self.equal, self.granted, self.until = equal, float("inf"), 0.0
         self.barred, self.peak = 0, 0.0  # sends barred, and the most used, since this was last asked
+        self.wished = 0.0  # by the last ask; see `steady`
 
     def take(self, part: float, lasts: float, now: float) -> None:
         """Take a grant in. Never 0: what divides by a part, or reads 0 as no limit, must not be misled."""
@@ -30,6 +33,15 @@
         self.peak = max(self.peak, used) if well else self.peak
         return well
 
+    def steady(self, wish: float) -> float:
+        """Return what to wish for: it rises at once and falls by a fifth an ask.
+
+        What a front gives up weighs for a window before anybody else has it, so a wish that follows each
+        moment's use ties up the difference; and one that vanishes sets the front back to its equal part.
+        """
+        self.wished = max(wish, FALL * self.wished)
+        return self.wished
+
     def anew(self) -> tuple[bool, float]:
         """Return whether sends were barred and the most that was used since the last call; forget both."""
         told = self.barred > 0, self.peak
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -12,9 +12,9 @@
 from typing import NamedTuple
 
 from cometseam.interface import (
-    Action, Capped, Eased, Effect, Ended, Error, Event, Granted, Group, HungUp, Judged, Lagged, Lifecycle,
-    Listed, ListKind, Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings, Shed,
-    Wake, Watch, Workload,
+    Action, Allotted, Capped, Eased, Effect, Ended, Error, Event, Granted, Group, HungUp, Judged, Lagged,
+    Lifecycle, Listed, ListKind, Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings,
+    Shed, Wake, Watch, Workload,
 )  # fmt: skip
 from cometseam.levels import Easing
 from cometseam.limits import Part
@@ -186,7 +186,9 @@
             case Rang():
                 self._rang(event.mark)
             case Plans():
-                self.plans = Ledger(event, self.plans)
+                self.plans = Ledger(event, self.plans, self.settings.fronts)
+            case Allotted():
+                self.plans.take(event, now)
             case Eased():
                 self.easing.take(event)
             case Lagged():
@@ -418,7 +420,8 @@
     # The gate: each rule is kept here, for every send and every final answer
     def _send(self, held: Held, way: Way, rank: int) -> bool:
         """Send one relay, or bar it."""
-        s, pull, target, source, left = self.settings, held.pull, *way[:2], held.cut_off - self.now
+        s, pull, target, source = self.settings, held.pull, *way[:2]
+        left = min(held.cut_off - self.now, held.workload.cut_off)  # no relay outlasts its workload's cut-off
         # Pulls get one answer in time, and nothing after it.
         if not held.open or held.out or left <= 0 or held.relays >= s.relay_limit:
             return False
--- a/cometseam/operator/compile.py
+++ b/cometseam/operator/compile.py
@@ -60,6 +60,7 @@
         self._fallbacks()
         self.scheme = read_levels(file.levels, platform, self.file.routes, self._complain)
         self.fleet = fleet.check(file.fleet, platform.settings, self._complain)
+        self._budgets_of_the_fleet()
 
     def _complain(self, path: Path, reason: str) -> None:
         if (path, reason) not in self._told:
@@ -71,6 +72,22 @@
 
     # Networks
 
+    def _budgets_of_the_fleet(self) -> None:
+        """What a budget allows the fleet must be shared out by somebody."""
+        file = self.file
+        if file.fleet is not None and file.fleet.limits is not None:
+            return
+        held: list[tuple[Path, BudgetForm | None]] = [(("front",), file.front.budget)]
+        held += [(("networks", name), form.budget) for name, form in file.networks.items()]
+        plans = [(("default",), file.default), *((("workloads", n), p) for n, p in file.workloads.items())]
+        held += [(path, plan.budget) for path, plan in plans]
+        held += [(("routes", place, "plan"), route.plan.budget) for place, route in enumerate(file.routes)]
+        for path, budget in held:
+            if budget is not None and budget.fleet is not None:
+                self._complain(
+                    (*path, "budget", "fleet"), "the file has no fleet.limits: nobody would share it out"
+                )
+
     def _budgets_apart(self) -> None:
         """A client's network must be one, where it is to have a budget of its own."""
         with_budget = [name for name, form in self.file.networks.items() if form.budget is not None]
@@ -302,7 +319,7 @@
     if value is None:
         return None
     form = value if isinstance(value, BudgetForm) else BudgetForm.model_construct(**value)
-    return Allowance(name, form.share, form.window, form.floor)
+    return Allowance(name, form.share, form.window, form.floor, float(form.fleet or 0))
 
 
 def _plan(merged: dict[str, Any], name: str, shared: str) -> Plan:
--- a/cometseam/operator/schema.py
+++ b/cometseam/operator/schema.py
@@ -172,6 +172,7 @@
     share: Annotated[Number, Field(ge=0.0, le=1.0)]
     window: Annotated[Duration, Field(ge=1000.0)] = 10_000.0
     floor: Annotated[Number, Field(ge=0.0, le=10_000.0)] = 5.0
+    fleet: Annotated[Whole, Field(ge=1, le=10_000_000)] | None = None
 
 
 class PlanForm(Strict):
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -103,10 +103,11 @@
     terms = read(compiled.fleet)
     shares = None
     if terms.limits is not None:
-        from cometseam.routing.shares import groups, own
+        from cometseam.routing.shares import groups, own, windows
 
         zones, settings = config.names.zones, config.settings
-        found = groups(settings, zones, *terms.limits, terms.drift, terms.relays is not None)
+        found = groups(settings, zones, *terms.limits, terms.drift, terms.relays is not None,
+                       windows(compiled.plans))  # fmt: skip
         shares = (found, own(settings, zones, found), router.wishes, router.grant)
         if terms.relays is not None:
             router.cap(*terms.relays)
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -104,7 +104,8 @@
     relays: bool
 
 
-Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan | Judge | Grant | i.Capped
+Fleet = Judge | Grant | i.Capped | i.Allotted
+Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan | Fleet
 
 
 class Router:
@@ -173,10 +174,13 @@
         self._mailbox.put_urgent(Judge(cache, bad, rest, age))  # as many as there are caches, a few a minute
 
     def grant(self, group: str, cache: str, part: float, lasts: float) -> None:
-        """Take in this front's part of what a cold cache bears from all fronts, or of relays out there."""
-        relays = group.endswith(":relays")
-        # As many as there are cold caches, or capped ones, each refresh.
-        self._mailbox.put_urgent(Grant(cache, part, lasts, relays))
+        """Take in this front's part of a limit: of what a cold cache bears from all fronts, of relays out
+        there, or (`cache` is then its name) of what a budget of further relays allows the fleet."""
+        # As many as there are cold caches, or capped ones, and such budgets, each refresh.
+        if group.startswith("retries:"):
+            self._mailbox.put_urgent(i.Allotted(cache, part, lasts))
+        else:
+            self._mailbox.put_urgent(Grant(cache, part, lasts, group.endswith(":relays")))
 
     def cap(self, caches: float, parents: float) -> None:
         """Have the fleet's relays out at one cache, and at one parent, held to so many; 0: any."""
@@ -186,8 +190,8 @@
         """Return which part of each shared limit this front wishes for, by group of fronts and cache."""
         from cometseam.routing import shares  # only where limits are shared
 
-        found: dict[str, dict[str, float]] = {}
         now = self._around.clock.now()
+        found = shares.retries(self._front.plans, now)
         for what, wishes in (("", shares.wishes), (shares.RELAYS, shares.relays)):
             for cache, wish in wishes(self._front, now).items():
                 line = self._roster.get(cache)
@@ -253,7 +257,7 @@
                     COUNTERS.add("pull.hung_up")
                     self._settle(pull, "hung_up")
                     self._decide(i.HungUp(pull.number))
-            case i.Rang() | i.Capped():
+            case i.Rang() | i.Capped() | i.Allotted():
                 self._decide(message)
             case i.Lagged():
                 self._decide(message)
--- a/cometseam/routing/shares.py
+++ b/cometseam/routing/shares.py
@@ -5,15 +5,45 @@
 that comes the wish, as a part of the whole. Nothing is sent, nothing is asked.
 """
 
-from cometseam.interface import Settings
-from cometseam.limits import Sharing
+from collections.abc import Iterable
+
+from cometseam.interface import Plans, Settings
+from cometseam.limits import Part, Sharing
 from cometseam.logic import Front, Server
+from cometseam.timing import SLICES, Ledger
 
 GROWTH = 2.0  # times its part that a front wishes for where it was barred
 MARGIN = 1.25  # times what it used that it wishes for where it was not
 
 PARENTS = "parents"  # the group of all fronts, for parents; each zone's fronts are a group of its name
 RELAYS = ":relays"  # behind the name of a group: of relays out, whose terms have another window
+RETRIES = "retries:"  # before the window (ms) of budgets of further relays: all fronts, a group a window
+IDLE = 0.25  # of an equal part that a front wishes for which uses nothing: it may have to soon
+
+
+def retries(ledger: Ledger, now: float) -> dict[str, dict[str, float]]:
+    """Return the wishes for what budgets allow the fleet, by group and name.
+
+    A front that sends no further relay says so: what it keeps free else could not be lent.
+    """
+    found: dict[str, dict[str, float]] = {}
+    for terms, budget in ledger.budgets.items():
+        if terms.fleet:
+            barred, peak = budget.part.anew()
+            wished = _steady(budget.part, max(peak, budget.further), barred, terms.fleet, now)
+            found.setdefault(retries_of(terms.window), {})[terms.name] = wished
+    return found
+
+
+def retries_of(window: float) -> str:
+    """Return the group of the fleet's budgets with such a window (ms)."""
+    return f"{RETRIES}{window:g}"
+
+
+def windows(plans: Plans) -> set[float]:
+    """Return the windows (ms) of the budgets that allow the fleet something."""
+    terms = [plans.front, *plans.networks, *(plan.allowance for plan in plans.plans)]
+    return {term.window for term in terms if term is not None and term.fleet}
 
 
 def wish(part: float, used: float, barred: bool, unit: float) -> float:
@@ -43,15 +73,23 @@
 
 
 def relays(front: Front, now: float) -> dict[int, float]:
-    """Return the wish for each capped cache at which this front had relays out, or wished to, of late."""
+    """Return the wish for each capped cache that is listed: an idle front's as well.
+
+    One that is not named in an ask is at its equal part, which so could not be lent.
+    """
     found: dict[int, float] = {}
     for cache, server in front.servers.items():
         barred, peak = server.relays.anew()
         whole = front.caps[server.told.kind == front.settings.parent_kind]
         if whole and server is not front.origin:
-            used = max(peak, server.load.out) / whole
-            found[cache] = wish(server.relays.at(now), used, barred, 1.0 / whole)
-    return {cache: wish for cache, wish in found.items() if wish}
+            found[cache] = _steady(server.relays, max(peak, server.load.out), barred, whole, now)
+    return found
+
+
+def _steady(part: Part, used: float, barred: bool, whole: float, now: float) -> float:
+    """Return the wish for a limit that is always shared: what an idle front keeps may be needed soon."""
+    wished = wish(part.at(now), used / whole, barred, 1.0 / whole)
+    return part.steady(min(max(wished, IDLE * part.equal), 1.0))
 
 
 def _used(front: Front, server: Server, now: float, whole: float) -> float:
@@ -62,12 +100,12 @@
 
 def groups(
     settings: Settings, zones: tuple[str, ...], refresh: float, lasts: float, drift: float,
-    capped: bool = False,
+    capped: bool = False, budgets: Iterable[float] = (),
 ) -> dict[str, Sharing]:  # fmt: skip
     """Return the groups of fronts that share something, each with its terms and how many it should be.
 
     `capped`: relays out are shared too. What was sent by an old part weighs until it has ended: at the latest
-    after the longest cut-off of any workload.
+    after the longest cut-off of any workload. `budgets`: the windows of budgets that are shared.
     """
     counts = {zones[zone]: count for zone, count in enumerate(settings.fronts_by_zone) if count > 0}
     counts[PARENTS] = max(settings.fronts, 1)
@@ -76,13 +114,18 @@
         longest = max((each.cut_off for each in settings.workloads), default=0.0)
         more = {f"{name}{RELAYS}": Sharing(n, lasts, refresh, longest, drift) for name, n in counts.items()}
         found.update(more)
+    for window in budgets:
+        # A budget's window slides in steps: what it counted leaves up to one step late.
+        terms = Sharing(max(settings.fronts, 1), lasts, refresh, window * (1.0 + 1.0 / SLICES), drift)
+        found[retries_of(window)] = terms
     return found
 
 
 def own(settings: Settings, zones: tuple[str, ...], found: dict[str, Sharing]) -> set[str]:
     """Return the groups that this front is one of."""
     names = (PARENTS, zones[settings.zone])
-    return {name + what for name in names for what in ("", RELAYS)} & found.keys()
+    mine = {name + what for name in names for what in ("", RELAYS)}
+    return {name for name in found if name in mine or name.startswith(RETRIES)}
 
 
 def group(front: Front, cache: int, zones: tuple[str, ...]) -> str:
--- a/cometseam/timing/__init__.py
+++ b/cometseam/timing/__init__.py
@@ -6,11 +6,11 @@
 tree that finds it) and `prove` (whether a plan keeps the rules).
 """
 
-from cometseam.timing.budget import Account, Budget, Ledger
+from cometseam.timing.budget import SLICES, Account, Budget, Ledger
 from cometseam.timing.pace import NO_PLAN, goes_on, second_after, time_out, times, wait
 from cometseam.timing.table import Sight, Table, whole_address, whole_size
 
 __all__ = [
-    "NO_PLAN", "Account", "Budget", "Ledger", "Sight", "Table", "goes_on", "second_after", "time_out",
-    "times", "wait", "whole_address", "whole_size",
+    "NO_PLAN", "SLICES", "Account", "Budget", "Ledger", "Sight", "Table", "goes_on", "second_after",
+    "time_out", "times", "wait", "whole_address", "whole_size",
 ]  # fmt: skip
--- a/cometseam/timing/budget.py
+++ b/cometseam/timing/budget.py
@@ -3,11 +3,15 @@
 It guards against an outage that is multiplied: where all that is asked fails, further relays stay a share
 of what came in, and when the caches are back nothing is left over from before. It harms where single caches
 fail at low traffic, which is what the floor is for.
+
+Where its terms say how many the whole fleet may send, this front also keeps to its part of that: an equal one
+until it is granted another (`cometseam.limits`). So the floors of hundreds of fronts don't add up.
 """
 
 from collections import deque
 
-from cometseam.interface import Allowance, Plan, Plans
+from cometseam.interface import Allotted, Allowance, Plan, Plans
+from cometseam.limits import Part
 from cometseam.timing.pace import NO_PLAN
 
 SLICES = 20  # of a window: what is older than a window leaves in steps of a twentieth
@@ -20,8 +24,9 @@
     older than the window.
     """
 
-    def __init__(self, terms: Allowance) -> None:
-        self.terms = terms
+    def __init__(self, terms: Allowance, fronts: int = 1) -> None:
+        """`fronts`: how many share what the terms allow the fleet."""
+        self.terms, self.part = terms, Part(1.0 / max(fronts, 1))
         self._slice = terms.window / SLICES
         self._counts: deque[list[float]] = deque()  # [its start, first relays, further relays]
         self.first = self.further = 0
@@ -48,7 +53,10 @@
     def has_room(self, now: float) -> bool:
         """Tell whether one further relay may go at this time (ms)."""
         self._roll(now)
-        return self.further + 1 <= self.allowed
+        if self.further + 1 > self.allowed:
+            return False
+        fleet = self.terms.fleet
+        return not fleet or self.part.fits(self.further + 1, fleet, now)
 
     def count(self, now: float, further: bool) -> None:
         """Count a relay that is sent: the first of a pull, or one after a failure."""
@@ -91,12 +99,21 @@
 
     budgets: dict[Allowance, Budget]
 
-    def __init__(self, plans: Plans, before: "Ledger | None" = None) -> None:
-        """Take over the counts of each budget whose terms are as before: a reload grants nothing anew."""
+    def __init__(self, plans: Plans, before: "Ledger | None" = None, fronts: int = 1) -> None:
+        """Take over the counts of each budget whose terms are as before: a reload grants nothing anew.
+
+        `fronts`: how many share what a budget allows the fleet.
+        """
         self._plans = plans
         terms = [plans.front, *plans.networks, *(plan.allowance for plan in plans.plans)]
         known: dict[Allowance, Budget] = before.budgets if before is not None else {}
-        self.budgets = {term: known.get(term) or Budget(term) for term in terms if term is not None}
+        self.budgets = {term: known.get(term) or Budget(term, fronts) for term in terms if term is not None}
+
+    def take(self, told: Allotted, now: float) -> None:
+        """Take in this front's part of what the budget of that name allows the fleet."""
+        for terms, budget in self.budgets.items():
+            if terms.name == told.budget:
+                budget.part.take(told.part, told.lasts, now)
 
     def of(self, plan: int, network: int) -> tuple[Plan, Account]:
         """Return the plan of a pull and what it draws on; without a plan nothing is counted."""
--- a/tests/standins/fronts.py
+++ b/tests/standins/fronts.py
@@ -26,6 +26,8 @@
   probing: { interval: '100ms', within: '60ms', fails: 2, passes: 2, lasts: '%dms' } } }"""
 LIMITS = """limits: { refresh: '200ms', lasts: '1s'%s },
   tasks+: { limits: { ttl: '1s', margin: '250ms', renew: '200ms' } }"""
+BUDGET = """ + { default: { relays: 3, until: 'cut-off' }, largest: { maps: '2MB', grids: '2MB' },
+  front: { budget: { share: 1, floor: 1000, window: '1s', fleet: %d } } }"""
 STATE = rb"fleet: %s: (\w+), token (\d+): "
 WINDOW = 3.0  # s over which what a cold cache gets counts: the sample's overloadFor
 COPY = "tag=4be0c1927d55a6f3,minted=1,why=cached"
@@ -115,17 +117,21 @@
 @asynccontextmanager
 async def fronts(
     count: int, names: tuple[str, ...], lasts_ms: int = 2000, limits: bool = False, expected: int = 1,
-    relays: int = 0, behave: Behave = well,
+    relays: int = 0, budget: int = 0, behave: Behave = well,
 ) -> AsyncIterator[Fronts]:  # fmt: skip
     """`count` fronts on the same caches, `cache-1` and `names`; each is told of `expected` fronts.
 
-    `relays`: how many the fleet may have out at one cache; 0: any.
+    `relays`: how many the fleet may have out at one cache; `budget`: further relays of the fleet in a second;
+    0: any.
     """
+    plan = BUDGET % budget if budget else ""
     cap = f", relays: {{ caches: {relays} }}" if relays else ""
 
     def prepare(front: World) -> None:
         told = front.config["settings"]
         told["balancers"], told["familyInfo"]["instancesByZone"] = expected, [0, 0, expected]
+        for grade in told["grades"] if relays else ():
+            grade["hardLimit"] = 2500.0  # for so long a part that was given up weighs
 
     with tempfile.TemporaryDirectory() as folder, Caches(1 + len(names), behave) as caches:
         wal = str(Path(folder) / "etcd.wal")
@@ -144,7 +150,8 @@
                     file.write_text(FILE % (link.port, lasts_ms))
                     if limits:
                         more = file.with_name("limits.jsonnet")
-                        more.write_text("(import 'operator.jsonnet') + { fleet+: { " + LIMITS % cap + " } }")
+                        shared = "{ fleet+: { " + LIMITS % cap + " } }"
+                        more.write_text(f"(import 'operator.jsonnet') + {shared}{plan}")
                         file = more
                     front = await here.stack.enter_async_context(
                         world(place, *names, operator=file, at=at, patience=90.0, name=f"front-{number}",
--- a/tests/test_relays_fronts.py
+++ b/tests/test_relays_fronts.py
@@ -23,8 +23,8 @@
 )
 
 pytestmark = pytest.mark.anyio
-CAP = 6  # relays out at one cache: two for each front in equal parts
-HOT, COOL = 24, 1  # clients that wait on the hot front, and on each of the others
+CAP = 18  # relays out at one cache: six for each front in equal parts
+HOT, COOL = 60, 1  # clients that wait on the hot front, and on each of the others
 
 
 @pytest.fixture
@@ -33,8 +33,8 @@
 
 
 def at_pace(cache: int, id: str, fields: dict[str, str], asked: int) -> Answer:
-    """Answer after the 250 ms of sending that the pull's size takes."""
-    return 0.25, "DONE", f"{COPY},rep=util:0.5;x1:0.5", b"x"
+    """Answer as late as still counts as at the pace of so small a pull: nothing seems crowded."""
+    return 0.1, "DONE", f"{COPY},rep=util:0.5;x1:0.5", b"x"
 
 
 async def wait_on(here: Fronts, place: int, client: int, turn: float, length: float) -> None:
@@ -51,7 +51,7 @@
                 number = next(numbers)
                 txn = f"{place + 1:04x}{client:04x}{number:08x}"
                 item = f"{((place * 64 + client) * 7919 + number) * 2654435761 % (1 << 64):016x}"
-                await caller.send(order(number, txn=txn, item=item, ram="875"))
+                await caller.send(order(number, txn=txn, item=item))
                 if (await caller.next()).code != 0:
                     await anyio.sleep(0.1)
         except (OSError, anyio.BrokenResourceError, anyio.IncompleteRead, anyio.EndOfStream):
@@ -77,8 +77,8 @@
 
 
 async def test_a_hot_front_has_more_out_than_an_equal_part_and_the_fleet_no_more_than_the_cap() -> None:
-    here = await play(CAP, nothing)
-    assert most(here) <= CAP and most(here, after=3.0) >= 4  # equal parts: two, and one of each other front
+    here = await play(CAP, nothing, 8.0)
+    assert most(here) <= CAP and most(here, after=5.0) >= 11  # equal parts: six, and one of each other front
 
 
 async def test_without_a_cap_the_fleet_has_more_out() -> None:
--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -1,5 +1,6 @@
 """Routes, sets, budgets and paces alone."""
 
+from dataclasses import replace
 from itertools import pairwise
 from random import Random
 
@@ -8,6 +9,7 @@
 from hypothesis import strategies as some
 
 from cometseam import interface as i
+from cometseam.limits import Part
 from cometseam.timing import Budget, Ledger, Sight, Table, goes_on, time_out, wait, whole_address
 from cometseam.timing.grow import Grower, covered
 from cometseam.timing.pace import longest_wait
@@ -199,3 +201,36 @@
     assert goes_on(plan, 1, i.Outcome.RESET)
     assert not goes_on(plan, 2, i.Outcome.RESET)
     assert not goes_on(plan, 1, i.Outcome.TIMEOUT)
+
+
+def test_what_the_fleet_is_allowed_holds_each_front_to_its_part() -> None:
+    terms = replace(TERMS, share=1.0, floor=100.0, fleet=12.0)
+    ledger = Ledger(i.Plans((), (), terms), None, fronts=3)
+    budget = ledger.budgets[terms]
+
+    def sends(now: float) -> int:
+        sent = 0
+        while budget.has_room(now):
+            budget.count(now, True)
+            sent += 1
+        return sent
+
+    assert sends(0.0) == 4  # an equal part
+    ledger.take(i.Allotted("front", 0.75, 500.0), 100.0)
+    ledger.take(i.Allotted("network n", 0.0, 500.0), 100.0)  # of no budget here
+    assert sends(100.0) == 5 and sends(599.0) == 0  # nine, four of which are not over yet
+    after = Ledger(i.Plans((), (), terms), ledger, fronts=3)  # a reload keeps part and counts
+    assert after.budgets[terms] is budget
+    assert sends(1200.0) == 4  # the grant is over: the lesser of it and an equal part
+    ledger.take(i.Allotted("front", 0.1, 500.0), 3000.0)
+    assert sends(3000.0) == 1 and sends(9000.0) == 1
+    unshared = Budget(replace(TERMS, floor=100.0))
+    assert unshared.has_room(0.0) and unshared.part.peak == 0.0
+
+
+def test_a_wish_rises_at_once_and_falls_by_a_fifth_an_ask() -> None:
+    part = Part(0.25)
+    assert part.steady(0.5) == 0.5 and part.steady(0.1) == 0.4 and part.steady(0.9) == 0.9
+    assert part.fits(3.0, 12.0, 0.0) and not part.fits(4.0, 12.0, 0.0) and part.anew() == (True, 3.0)
+    part.take(0.0, 100.0, 0.0)  # never 0: a budget of 0 would read as no limit
+    assert part.at(50.0) > 0.0 and not part.fits(1.0, 12.0, 50.0) and part.anew() == (True, 0.0)
