--- a/bench/limits.py
+++ b/bench/limits.py
@@ -108,7 +108,8 @@
                 counts = allowed.further(await allowed.play(allowed.ALLOWED, thrown, 10.0))
                 late = [count for at, count in counts if at >= 5.0]
                 most = max((count for _, count in counts), default=0) / allowed.ALLOWED
-                print(f"{name} | {way} | {most:.2f} | {fmean(late or [0.0]) / allowed.ALLOWED:.2f}", flush=True)
+                mean = fmean(late or [0.0]) / allowed.ALLOWED
+                print(f"{name} | {way} | {most:.2f} | {mean:.2f}", flush=True)
 
 
 def rulings(text: str, word: str) -> dict[tuple[str, str, str], float]:
--- a/tests/standins/fronts.py
+++ b/tests/standins/fronts.py
@@ -6,6 +6,7 @@
 import re
 import shutil
 import signal
+import sys
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -114,15 +115,19 @@
         return place
 
 
+def _command(rate: float) -> list[str]:
+    return [sys.executable, "-m", "tests.standins.skewed", str(rate)]
+
+
 @asynccontextmanager
 async def fronts(
     count: int, names: tuple[str, ...], lasts_ms: int = 2000, limits: bool = False, expected: int = 1,
-    relays: int = 0, budget: int = 0, behave: Behave = well,
+    relays: int = 0, budget: int = 0, behave: Behave = well, rates: tuple[float, ...] = (),
 ) -> AsyncIterator[Fronts]:  # fmt: skip
     """`count` fronts on the same caches, `cache-1` and `names`; each is told of `expected` fronts.
 
     `relays`: how many the fleet may have out at one cache; `budget`: further relays of the fleet in a second;
-    0: any.
+    0: any. `rates`: how fast the clocks of leases run, by front.
     """
     plan = BUDGET % budget if budget else ""
     cap = f", relays: {{ caches: {relays} }}" if relays else ""
@@ -155,7 +160,7 @@
                         file = more
                     front = await here.stack.enter_async_context(
                         world(place, *names, operator=file, at=at, patience=90.0, name=f"front-{number}",
-                              prepare=prepare)
+                              prepare=prepare, command=_command(rates[number]) if rates else None)
                     )
                     for cache in front.caches.values():  # the parent and the origin of its own
                         cache.alive = True
--- a/tests/test_limits_fronts.py
+++ b/tests/test_limits_fronts.py
@@ -50,9 +50,12 @@
         return  # the front was killed: that is the test's doing
 
 
-async def play(limits: bool, rate: Callable[[int, float], float], length: float, fault: Fault) -> Fronts:
+async def play(
+    limits: bool, rate: Callable[[int, float], float], length: float, fault: Fault,
+    rates: tuple[float, ...] = (),
+) -> Fronts:  # fmt: skip
     """Start fronts, have cache-2 start anew (cold), ask, throw the fault; the caches keep the record."""
-    async with fronts(FRONTS, NAMES, limits=limits, expected=FRONTS) as here:
+    async with fronts(FRONTS, NAMES, limits=limits, expected=FRONTS, rates=rates) as here:
         if limits:
             await here.probing(task="limits")
         here.cold_at = time.monotonic()
@@ -158,6 +161,12 @@
     assert over_limit(here) <= 1.0, here.used()
 
 
+async def test_a_front_whose_clock_runs_fast_is_over_by_no_more_than_its_floor() -> None:
+    """Far faster than the file's drift: its grants end early, and it is back at a floor that may be lent."""
+    here = await play(True, moving, 9.0, all_links_cut, rates=(1.5, 1.0, 1.0))
+    assert over_limit(here) <= 1.0 + 1.0 / FRONTS, here.used()
+
+
 async def test_two_of_three_fronts_restarted_at_once_stay_within_the_bound_of_processes() -> None:
     """What a dead process sent still weighs for a window, and the new one begins at its floor: N is five."""
     here = await play(True, moving, 9.0, most_restarted)
