--- a/cometseam/routing/shares.py
+++ b/cometseam/routing/shares.py
@@ -18,7 +18,7 @@
 PARENTS = "parents"  # the group of all fronts, for parents; each zone's fronts are a group of its name
 RELAYS = ":relays"  # behind the name of a group: of relays out, whose terms have another window
 RETRIES = "retries:"  # before the window (ms) of budgets of further relays: all fronts, a group a window
-IDLE = 0.25  # of an equal part that a front wishes for which uses nothing: it may have to soon
+IDLE = 0.5  # of an equal part that a front wishes for which uses nothing: it may have to soon
 
 
 def retries(ledger: Ledger, now: float) -> dict[str, dict[str, float]]:
