Keep a front's part of a limit out of the package that shares out: run imports none of it

Part now stands in cometseam/timing, and the test of what run imports watches for cometseam.limits too.

--- a/bench/limits_model.py
+++ b/bench/limits_model.py
@@ -18,9 +18,10 @@
 from bench.cpu import settings
 from bench.fleet_model import Fleet
 from cometseam import interface as i
-from cometseam.limits import Coordinator, Grant, Part, Share, Sharing
+from cometseam.limits import Coordinator, Grant, Share, Sharing
 from cometseam.logic import Front
 from cometseam.routing import shares
+from cometseam.timing import Part
 
 COLD = 1000  # the cache that starts anew
 SENDING = 300.0  # ms of each pull: the workload's mean from the start, so that all count alike
--- a/cometseam/limits/__init__.py
+++ b/cometseam/limits/__init__.py
@@ -2,8 +2,7 @@
 
 from cometseam.limits.coordinator import Ask, Coordinator, Grant
 from cometseam.limits.fair import fair
-from cometseam.limits.part import Part
 from cometseam.limits.share import Share
 from cometseam.limits.terms import Refused, Sharing
 
-__all__ = ["Ask", "Coordinator", "Grant", "Part", "Refused", "Share", "Sharing", "fair"]
+__all__ = ["Ask", "Coordinator", "Grant", "Refused", "Share", "Sharing", "fair"]
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -17,8 +17,7 @@
     Shed, Wake, Watch, Workload,
 )  # fmt: skip
 from cometseam.levels import Easing
-from cometseam.limits import Part
-from cometseam.timing import Ledger, goes_on, times, wait
+from cometseam.timing import Ledger, Part, goes_on, times, wait
 
 TRACKED, GAPS = 6000, 6  # objects' parts whose requests are remembered, and gaps for each of them
 GAP_FLOOR = 250.0  # ms; closer requests count as this far apart: a client's retries are no popularity
--- a/cometseam/routing/shares.py
+++ b/cometseam/routing/shares.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable
 
 from cometseam.interface import Plans, Settings
-from cometseam.limits import Part, Sharing
+from cometseam.limits import Sharing
 from cometseam.logic import Front, Server
-from cometseam.timing import SLICES, Ledger
+from cometseam.timing import SLICES, Ledger, Part
 
 GROWTH = 2.0  # times its part that a front wishes for where it was barred
 MARGIN = 1.25  # times what it used that it wishes for where it was not
--- a/cometseam/timing/__init__.py
+++ b/cometseam/timing/__init__.py
@@ -8,9 +8,10 @@
 
 from cometseam.timing.budget import SLICES, Account, Budget, Ledger
 from cometseam.timing.pace import NO_PLAN, goes_on, second_after, time_out, times, wait
+from cometseam.timing.part import Part
 from cometseam.timing.table import Sight, Table, whole_address, whole_size
 
 __all__ = [
-    "NO_PLAN", "SLICES", "Account", "Budget", "Ledger", "Sight", "Table", "goes_on", "second_after",
+    "NO_PLAN", "SLICES", "Account", "Budget", "Ledger", "Part", "Sight", "Table", "goes_on", "second_after",
     "time_out", "times", "wait", "whole_address", "whole_size",
 ]  # fmt: skip
--- a/cometseam/timing/budget.py
+++ b/cometseam/timing/budget.py
@@ -11,8 +11,8 @@
 from collections import deque
 
 from cometseam.interface import Allotted, Allowance, Plan, Plans
-from cometseam.limits import Part
 from cometseam.timing.pace import NO_PLAN
+from cometseam.timing.part import Part
 
 SLICES = 20  # of a window: what is older than a window leaves in steps of a twentieth
 
--- a/cometseam/limits/part.py
+++ b/cometseam/timing/part.py
@@ -1,4 +1,7 @@
-"""This front's part of one shared limit, as its decisions hold it; without I/O."""
+"""This front's part of one shared limit, as its decisions hold it; without I/O.
+
+Apart from `cometseam.limits`, which shares out and which a front without a fleet does not import.
+"""
 
 FALL = 0.8  # of the last wish that is left at most one ask later
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -114,8 +114,8 @@
     import subprocess
     import sys
 
-    probe = "import sys, cometseam.__main__, cometseam.serving\nprint(sorted(set(sys.modules) & WATCH))"
-    code = f"WATCH = {{'aetcd', 'grpc', 'cometseam.coordination', 'cometseam.ownership'}}\n{probe}"
+    watch = {"aetcd", "grpc", "cometseam.coordination", "cometseam.limits", "cometseam.ownership"}
+    code = f"import sys, cometseam.__main__, cometseam.serving\nprint(sorted(set(sys.modules) & {watch}))"
     shown = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, check=True)
     assert shown.stdout.strip() == "[]"
 
--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -9,8 +9,7 @@
 from hypothesis import strategies as some
 
 from cometseam import interface as i
-from cometseam.limits import Part
-from cometseam.timing import Budget, Ledger, Sight, Table, goes_on, time_out, wait, whole_address
+from cometseam.timing import Budget, Ledger, Part, Sight, Table, goes_on, time_out, wait, whole_address
 from cometseam.timing.grow import Grower, covered
 from cometseam.timing.pace import longest_wait
 from cometseam.timing.sets import common, covered_by, cut_out, joined, whole, without
