A cache that starts anew leaves the front at its granted part, not at an equal one

Seen on reading over: Front._listed makes a new Server for a new start and with it new Parts, so a front that had been granted less than an equal part went back to that, while the rest was lent to others by the cache's name; with its link cut nobody told it again. The stated bound did not hold there. Ruled out: shared state on the service (the coordinator counts by name). Now the parts go over to the new start, as what was sent does; a test fails without it (1.0 instead of 0.2 and 0.3).

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -256,7 +256,8 @@
         limit = weight if self.settings.sized else UNSIZED_LIMIT
         sharing = self.sharing(entry)
         fresh = Server(entry, weight, Limit(limit / sharing, self.lasts), 1.0 / sharing)
-        fresh.spent = known.spent if known else fresh.spent  # what it got before its start was told counts
+        if known:  # what it got before its start was told counts, and what the fleet granted there holds on
+            fresh.spent, fresh.part, fresh.relays = known.spent, known.part, known.relays
         self.servers[entry.cache] = fresh
 
     def sharing(self, entry: Listed) -> int:
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -10,7 +10,7 @@
 from cometseam import interface as i
 from cometseam.ownership import Bidder, Entry, Fence, Owner, State, Tail, Terms, Turn, View
 from cometseam.verdicts import Board, Prober, Probing
-from tests.drive import EDGES, Drive
+from tests.drive import EDGES, Drive, line
 
 TERMS = Terms(1000.0, 250.0, 0.01, 200.0, 100.0)
 PROBING = Probing(interval=100.0, within=50.0, fails=2, passes=2, lasts=900.0)
@@ -377,3 +377,13 @@
     for number in range(1, 6):
         drive.pull(number)
     assert out_at(drive, 12) == 5
+
+
+def test_a_cache_that_starts_anew_leaves_the_front_at_its_part() -> None:
+    """The rest was lent to others by the cache's name; with the link cut nobody says it again."""
+    drive = Drive(caches=(12, 21, 31))
+    drive.tell(i.Granted(12, 0.2, 500.0))
+    drive.tell(i.Granted(12, 0.3, 500.0, relays=True))
+    drive.tell(i.Members(i.ListKind.CHANGES, (line(12, ready_at=drive.now),)), after=600.0)
+    server = drive.front.servers[12]
+    assert server.started > 0 and (server.part.at(drive.now), server.relays.at(drive.now)) == (0.2, 0.3)
