Pass a tagged pull's mark on to caches, so that they can tell its repeat

It now goes on unchanged where the client sends it; a mark that can't stand among a command's fields is told to the client.

--- a/cometseam/protocol/frames.py
+++ b/cometseam/protocol/frames.py
@@ -153,6 +153,7 @@
     held_tag: str  # of the copy that the client holds; empty: none
     frame: Frame
     body_at: int
+    mark: str = ""  # by which caches know a repeat of a tagged pull; goes on unchanged
 
     def body(self) -> list[memoryview]:
         """Return the body, in pieces."""
@@ -164,6 +165,7 @@
 LONGEST_LEFT = 3600000.0
 HEX_DIGITS = frozenset("0123456789abcdef")
 NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,20})?([eE][-+]?[0-9]{1,2})?")  # no other alphabet's digits
+MARK = re.compile(r"[!-+\--<>-~]{0,128}")  # printable, but for what parts the fields of a command
 WHOLE = re.compile(r"[0-9]{1,12}")
 
 
@@ -189,6 +191,12 @@
             raise Malformed(f"{name}: missing or not 16 hex digits")
         return value
 
+    def mark() -> str:
+        value = fields.get("unique", "")
+        if not MARK.fullmatch(value):  # it is written among other fields
+            raise Malformed("unique: not a mark that can be passed on")
+        return value
+
     return Order(
         id=tag("txn"),
         workload=fields.get("verb", ""),
@@ -200,6 +208,7 @@
         held_tag=tag("got") if "got" in fields else "",
         frame=frame,
         body_at=body_at,
+        mark=mark(),
     )
 
 
--- a/cometseam/protocol/resp.py
+++ b/cometseam/protocol/resp.py
@@ -38,6 +38,7 @@
     parent_keeps_none: bool
     renew: bool
     held_tag: str
+    mark: str = ""  # of a tagged pull
 
 
 @dataclass(slots=True)
@@ -51,6 +52,7 @@
     waited: float = 0.0
     load: dict[str, float] | None = None
     body: Body | None = None
+    tag: str = ""  # of the copy
 
     @property
     def copy_holds(self) -> bool:
@@ -133,6 +135,13 @@
         """Tell whether an answer is half read."""
         return bool(self._head) or self._begun is not None
 
+    @property
+    def half_read(self) -> str | None:
+        """Tell whose answer is half read: an id, empty where that has not come yet; None: there is none."""
+        if self._begun is not None:
+            return self._begun.id
+        return "" if self._head else None
+
     def drop(self, id: str) -> None:
         """Keep no more of this answer, if it is half read: its rest is passed over."""
         if self._begun is not None and self._begun.id == id:
@@ -191,7 +200,8 @@
         items = (item.partition(":") for item in fields["rep"].split(";"))
         load = {name: _read_figure(value) for name, _, value in items}
     waited = max(_read_figure(fields["lag"]), 0.0) if "lag" in fields else 0.0
-    return Answer(id, word, WORDS[word], REMARKS.get(fields.get("why", ""), Remark.NONE), waited, load)
+    remark = REMARKS.get(fields.get("why", ""), Remark.NONE)
+    return Answer(id, word, WORDS[word], remark, waited, load, tag=fields.get("tag", ""))
 
 
 def _read_figure(text: str) -> float:
@@ -247,6 +257,8 @@
         fields.append("opts=" + "+".join(word for word, on in how.items() if on))
     if command.held_tag:
         fields.append(f"known={command.held_tag}")
+    if command.mark:
+        fields.append(f"dedupe={command.mark}")
     return b"*4\r\n" + _bulk("REQ") + _bulk(command.id) + _bulk(",".join(fields)) + b"$%d\r\n" % body
 
 
--- a/cometseam/routing/translate.py
+++ b/cometseam/routing/translate.py
@@ -30,6 +30,12 @@
         """Return a cache's line."""
         return self._lines.get(cache)
 
+    def starts(self) -> dict[int, tuple[tuple[str, int], float]]:
+        """Return the address and the last start of each cache that is ready, by number."""
+        ready = i.Lifecycle.READY
+        lines = self._lines.items()
+        return {cache: (line.address, line.ready_at) for cache, line in lines if line.lifecycle is ready}
+
     def number(self, name: str) -> int | None:
         """Return the number of a listed cache; None where it is not listed."""
         return self._numbers.get(name)
@@ -112,4 +118,5 @@
     return Command(
         order.id, order.workload, order.object, order.part, source, relay.rank, relay.oldest, relay.join,
         relay.only_held, relay.parent_keeps_none, relay.renew, order.held_tag,
+        order.mark,
     )  # fmt: skip
