Pay what is owed at each end: exits, evictions, half-written relays, silent watches

Relays (peer.py, actor.py, logic.py): a relay of a client that has left went out where cancelling is not allowed (HungUp recalled nothing), up to the time a late connection took; Peer.lost queued a half-written one anew for a cache that had begun to drain; one that waited was not decided again when its cache moved or started anew. Ask.wanted is now cleared at the final answer, and looked at where relays are placed; Recall.if_unsent takes back what was never sent. An answer that dribbles for ever kept a connection, doubted or not, in use or unusable for ever: bounded. A client's copy is called current only where the answer names its tag.

Exit (program.py): what came 600 ms after SIGTERM was failed at the longest cut-off + 350 ms, by the adapter, as errored; now at + 600 ms, by the module (Closing), shed where it never ran. Half-read frames, unread input and the accept queue are waited for. Connections end write side first and are read to a bound.

Clients (client.py, connection.py): past the flood bound answers owed were dropped; a half-read frame ended a connection with pulls open; a new connection was evicted before its first pull could come; a client's leaving was unseen while reading waited for room.

Change log: two silent connections in a row took 6 s, three 9; now 2 s each, 6.3 s for three, of the 7 allowed.

--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -255,6 +255,11 @@
     id: int
 
 
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The front ends: what is still owed is answered now."""
+
+
 @dataclass(frozen=True, slots=True)
 class Rang:
     """A timer has come due."""
@@ -335,7 +340,8 @@
 
 
 Fleet = Judged | Granted | Capped | Allotted  # what the fleet tells
-Event = Members | Pull | Began | Ended | HungUp | Rang | Probed | Purged | Lagged | Plans | Eased | Fleet
+Facts = Members | Probed | Purged | Lagged | Plans | Eased | Closing
+Event = Pull | Began | Ended | HungUp | Rang | Facts | Fleet
 
 
 @dataclass(slots=True)
@@ -371,10 +377,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Recall:
-    """Stop waiting for a relay."""
+    """Stop waiting for a relay; with `if_unsent` only if it is not written yet, which needs no leave."""
 
     id: int
     relay: int
+    if_unsent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -12,9 +12,9 @@
 from typing import NamedTuple
 
 from cometseam.interface import (
-    Action, Allotted, Capped, Eased, Effect, Ended, Error, Event, Granted, Group, HungUp, Judged, Lagged,
-    Lifecycle, Listed, ListKind, Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark, Settings,
-    Shed, Wake, Watch, Workload,
+    Action, Allotted, Capped, Closing, Eased, Effect, Ended, Error, Event, Granted, Group, HungUp, Judged,
+    Lagged, Lifecycle, Listed, ListKind, Members, Outcome, Plans, Pull, Purged, Rang, Recall, Relay, Remark,
+    Settings, Shed, Wake, Watch, Workload,
 )  # fmt: skip
 from cometseam.levels import Easing
 from cometseam.timing import Ledger, Part, goes_on, times, wait
@@ -205,13 +205,12 @@
             case Capped():
                 self.caps = (event.caches, event.parents)
             case HungUp() if event.id in self.held:
-                held = self.held[event.id]
-                held.open = False
-                held.course.close()
-                if not held.out:
-                    del self.held[event.id]
-                elif self.settings.recalls:
-                    self.actions.append(Recall(event.id, held.relays - 1))
+                self.held[event.id].open = False
+                self._let_go(self.held[event.id])
+            case Closing():
+                for held in [held for held in self.held.values() if held.open]:
+                    self._answer(held)
+                    self._let_go(held)
             case Purged():
                 self.purged = {what: times for what, times in self.purged.items() if times[1] > now}
                 what = (event.object, -1) if event.object else (0, event.group)
@@ -548,6 +547,14 @@
         else:
             self.actions.append(Error(held.pull.id))
 
+    def _let_go(self, held: Held) -> None:
+        """Nothing is owed any more. Taking back what was never sent needs no leave."""
+        held.course.close()
+        if held.out:
+            self.actions.append(Recall(held.pull.id, held.relays - 1, not self.settings.recalls))
+        else:
+            self.held.pop(held.pull.id, None)
+
     # What relays tell
     def _ended(self, event: Ended) -> None:
         held = self.held.get(event.id)
--- a/cometseam/mailbox.py
+++ b/cometseam/mailbox.py
@@ -1,6 +1,8 @@
 """The mailbox of an actor: bounded, with a lane for what must not wait behind the rest."""
 
 from collections import deque
+from collections.abc import Iterator
+from itertools import chain
 from typing import Generic, TypeVar
 
 import anyio
@@ -20,6 +22,9 @@
     def __len__(self) -> int:
         return len(self._urgent) + len(self._plain)
 
+    def __iter__(self) -> Iterator[Message]:
+        return chain(self._urgent, self._plain)
+
     def offer(self, message: Message) -> bool:
         """Put a message in, if there is room."""
         if len(self._plain) >= self.most:
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -20,11 +20,13 @@
 from cometseam.transport.changelog import ChangeLog
 from cometseam.transport.client import MOST_OPEN, Listener
 from cometseam.transport.clock import Clock, Timers
+from cometseam.transport.connection import LINGER
 from cometseam.transport.peer import Surroundings
 
 # By the protocol, after SIGTERM: new connections come for 400 ms and pulls on open ones for 200 ms more, by
 # clients' clocks; it is killed no sooner than 700 ms after the longest cut-off, of which 3 s count at most.
-KILLED_PAST, MOST_CUT_OFF = 700.0, 3000.0
+# So the last pull has its whole time before what is owed is given up, and 100 ms are left to write that.
+LAST_PULL, KILLED_PAST, MOST_CUT_OFF = 600.0, 700.0, 3000.0
 Actor = Callable[[], Coroutine[Any, Any, None]]
 POOL_PART = 2  # of the memory that the interpreter leaves, what goes to buffers
 UNSEEN = 20000  # objects made and not freed between two looks for cycles
@@ -43,7 +45,7 @@
     front = Front(config.seed, config.settings)
     tracer = Tracer(Mode(config.trace), most_open=config.clients * MOST_OPEN)
     router = Router(front, config.names, config.clients * MOST_OPEN, around, config.seed, tracer)
-    listener = Listener(config.listen, config.clients, pool, clock, router)
+    listener = Listener(config.listen, config.clients, pool, clock, router, config.links.connect_within)
     # Where buffers run short, a client that takes nothing for as long as a peer may take to connect goes.
     pool.on_short = lambda: listener.make_room(config.links.connect_within)
     log = ChangeLog(config.changelog, config.last, config.names, router.change)
@@ -181,16 +183,32 @@
 
 
 async def _drain(config: Config, clock: Clock, router: Router, listener: Listener) -> None:
-    """Wait until nothing more can come and nothing is owed; at the last moment answer what still is."""
-    began = clock.now()
-    end_by = began + min(config.links.longest_cut_off, MOST_CUT_OFF) + 0.5 * KILLED_PAST
-    while clock.now() < end_by:
-        idle = not router.owed and all(client.is_idle for client in listener.clients)
-        if idle and clock.now() >= began + KILLED_PAST:
-            return
+    """See to it that all that has come is answered, and that the answers reach clients.
+
+    It waits until nothing more can come and nothing is owed; at the last moment what still is has its answer
+    from the module, and what comes later is shed; then connections end, write side first. It ends sooner
+    where clients have gone; nothing is lost where it is killed inside the last step.
+    """
+    began, longest = clock.now(), config.links.longest_cut_off
+    last = began + min(longest, MOST_CUT_OFF) + LAST_PULL
+    closing = False
+    while True:
+        now = clock.now()
+        if now >= last and not closing:
+            closing = True
+            router.end_all()
+        # What waits to be accepted, or to be read, has come: its client counts on an answer.
+        came = listener.accept()
+        owed = router.owes or not all(client.is_quiet for client in listener.clients)
+        if not came and not owed and now >= began + KILLED_PAST:
+            break
+        if now >= last + longest + KILLED_PAST:
+            break  # a client that sends or takes nothing more: nobody waits for it
         await anyio.sleep(TURN / 1000.0)
-    router.give_up_all()
-    await anyio.sleep(TURN / 1000.0)
+    listener.end_all()
+    with anyio.move_on_after(2.0 * LINGER):
+        while not listener.is_empty:
+            await anyio.sleep(TURN / 1000.0)
 
 
 async def _sample(clock: Clock, router: Router) -> None:
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -105,7 +105,7 @@
 
 
 Fleet = Judge | Grant | i.Capped | i.Allotted
-Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | Replan | Fleet
+Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | i.Closing | Replan | Fleet
 
 
 class Router:
@@ -131,7 +131,7 @@
         self._tasks: TaskGroup | None = None
         self._table: Table | None = None  # of the operator's routes; pulls that are open keep their plan
         self._listed = False
-        self.draining = False
+        self.draining = self._closing = False
         self._tracer = tracer if tracer is not None and tracer.mode is not Mode.OFF else None
         self._quoted = [each.quoted for each in front.settings.workloads] if self._tracer is not None else []
 
@@ -146,9 +146,16 @@
         """Tell how many pulls are open or still to be taken in."""
         return len(self._open) + len(self._mailbox)
 
+    @property
+    def owes(self) -> bool:
+        """Tell whether a pull that has come is still to be answered."""
+        return any(pull.owed for pull in self._open.values()) or any(
+            isinstance(message, Taken) for message in self._mailbox
+        )
+
     def take(self, client: Client, stream: int, order: Order) -> bool:
-        """Take a pull in, unless as many are open as it may hold."""
-        if self.owed >= self._most_open:
+        """Take a pull in, unless as many are open as it may hold, or the front is about to end."""
+        if self._closing or self.owed >= self._most_open:
             COUNTERS.add("pull.no_room")
             return False
         return self._mailbox.offer(Taken(client, stream, order, self._around.clock.now()))
@@ -257,7 +264,7 @@
                     COUNTERS.add("pull.hung_up")
                     self._settle(pull, "hung_up")
                     self._decide(i.HungUp(pull.number))
-            case i.Rang() | i.Capped() | i.Allotted():
+            case i.Rang() | i.Capped() | i.Allotted() | i.Closing():
                 self._decide(message)
             case i.Lagged():
                 self._decide(message)
@@ -331,7 +338,10 @@
                 lambda pull, _: pull.event.object == wanted if wanted else pull.event.group == group
             )
         elif isinstance(change, Listing):
+            had = self._roster.starts()
             members = self._roster.take(change)
+            now = self._roster.starts()
+            changed = {cache for cache in had if now.get(cache) != had[cache]}
             self._around.peers = len(self._roster)
             for cache, peer in list(self._peers.items()):
                 line = self._roster.get(cache)
@@ -341,14 +351,11 @@
             first = not self._listed and change.whole
             self._listed = True
             self._decide(i.Members(i.ListKind.CACHED, members.entries) if first else members)
-            self._reconsider(lambda _, relay: not (self._fit(relay.cache) and self._fit(relay.source)))
-
-    def _fit(self, cache: int) -> bool:
-        line = self._roster.get(cache)
-        return line is not None and line.lifecycle is i.Lifecycle.READY
+            # What waits was decided for a cache that was ready, at that address, since that start.
+            self._reconsider(lambda _, relay: relay.cache in changed or relay.source in changed)
 
     def _reconsider(self, concerned: Callable[[Open, i.Relay], bool]) -> None:
-        """Take back relays of which nothing is written yet: they were decided before a drain or a purge."""
+        """Take back relays not written yet: they were decided before a drain, a purge, a new start."""
         for pull in list(self._open.values()):
             if pull.out is not None and pull.out.peer is not None and concerned(pull, pull.out.relay):
                 pull.out.peer.mailbox.push(GiveUp(pull.out.ask, if_unsent=True))
@@ -398,7 +405,7 @@
             case i.Recall():
                 pull = self._open.get(action.id)
                 if pull is not None and pull.out is not None and pull.out.peer is not None:
-                    pull.out.peer.mailbox.push(GiveUp(pull.out.ask))
+                    pull.out.peer.mailbox.push(GiveUp(pull.out.ask, action.if_unsent))
             case i.Wake():
                 rang = i.Rang(action.mark)
                 due = self._around.clock.now() + action.after
@@ -488,6 +495,10 @@
             if self._tracer is not None:
                 self._tell(self._tracer.answered(pull.number, self._around.clock.now(), kind))
         pull.owed = False
+        if pull.out is not None:
+            # Nothing is sent for a pull after its final answer, nor for a client that has left: what waits in
+            # a mailbox or for a connection, or is to go over another one, is not written any more.
+            pull.out.ask.wanted = False
         if pull.timer is not None:
             pull.timer.cancel()
         self._by_stream.pop((pull.client, pull.stream), None)
@@ -507,9 +518,7 @@
         peers = sorted(self._peers.values(), key=lambda peer: peer.name)
         return [(peer.name, dict(sorted(peer.ends.items()))) for peer in peers]
 
-    def give_up_all(self) -> None:
-        """Answer all that is owed: the front ends."""
-        for pull in list(self._open.values()):
-            if pull.owed:
-                self._settle(pull, "errored")
-                pull.client.errored(pull.stream)
+    def end_all(self) -> None:
+        """Have all that is owed answered, by the module, and take no more in: the front ends."""
+        self._closing = True
+        self._mailbox.push(i.Closing())  # behind the pulls that have come
--- a/cometseam/transport/changelog.py
+++ b/cometseam/transport/changelog.py
@@ -12,8 +12,10 @@
 from cometseam.protocol.changelog import MOST, Change, Unusable, path, read_text
 from cometseam.settings import Names
 
-POLL = 2000  # ms a poll may take where nothing is to be told: a dead link shows well within the 7 s allowed
-PATIENCE = 1000  # ms past that, and for a connection to come up
+# ms a poll may take where nothing is to be told, and past that; what was told counts 7 s later at the latest:
+# three connections in a row may fall silent, the two that replace the first as well, and it is still heard.
+POLL, PATIENCE = 1500, 500
+CONNECT = 1000  # ms for a connection to come up
 REST = 50.0  # ms between two looks at whether another front still reads the log for this one
 FIRST_WAIT, LONGEST_WAIT = 20.0, 500.0  # ms between two tries that fail
 
@@ -61,7 +63,7 @@
 
     async def _poll(self) -> None:
         """Poll over one connection until it ends."""
-        with anyio.fail_after(PATIENCE / 1000.0):
+        with anyio.fail_after(CONNECT / 1000.0):
             stream = await anyio.connect_tcp(*self._address)
         async with stream:
             http = h11.Connection(h11.CLIENT, max_incomplete_event_size=65536)
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -66,6 +66,7 @@
         self.used_at = clock.now()  # when it last sent a whole frame or was answered
         self._ending = False  # sent what can't be used: it ends when nothing is open on it any more
         self._passed_over = 0  # bytes that came after that
+        self._came_at = clock.now()
 
     @property
     def is_idle(self) -> bool:
@@ -77,23 +78,42 @@
         """Tell whether its end would cost nothing that has come so far."""
         return self.is_idle and not self._connection.has_input()
 
+    @property
+    def is_quiet(self) -> bool:
+        """Tell whether nothing has come on it, in part or whole, that is still to be answered."""
+        return self._ending or (self.is_spare and not self._decoder.is_inside)
+
+    def may_go(self, greets_within: float) -> bool:
+        """Tell whether it may give its place: the first pull of a new one may still be on its way."""
+        return self.is_spare and (self._spoke or self._came_at < self._clock.now() - greets_within)
+
     def is_stalled(self, longest: float) -> bool:
         """Tell whether it has left an answer half read for longer than that."""
         return self._connection.is_stuck and self._connection.stuck_since < self._clock.now() - longest
 
     def is_overdue(self) -> bool:
         """Tell whether it has held a place for too long with nothing that is open."""
-        now = self._clock.now()
-        if 0.0 < self._half_since < now - FIRST_WORD:
+        if self.is_idle and self._is_half():
             return True
-        return self.is_spare and self.used_at < now - (IDLE if self._spoke else FIRST_WORD)
+        return self.is_spare and self.used_at < self._clock.now() - (IDLE if self._spoke else FIRST_WORD)
+
+    def _is_half(self) -> bool:
+        """Tell whether a frame has been half read for too long, and not for want of room here."""
+        if self._connection.starved and self._half_since:
+            self._half_since = self._clock.now()
+        return 0.0 < self._half_since < self._clock.now() - FIRST_WORD
+
+    def end_half_frame(self) -> None:
+        """Take no more from a client whose frame does not end; pulls open on it are still answered."""
+        if not self.is_idle and not self._ending and self._is_half():
+            self.unusable(0, "a frame that does not end")
 
     async def run(self, draining: bool) -> None:
         """Serve it until it ends."""
         if draining:
             self.tell_no_more()
         try:
-            await self._connection.run(self._feed)
+            await self._connection.run(self._feed, heeds_end=True)
         finally:
             self._decoder.close()
             for stream in sorted(self._open):
@@ -109,14 +129,21 @@
         self._connection.send([write_frame(Type.NO_MORE, 0)])
 
     def close(self) -> None:
-        """End the connection."""
+        """End the connection at once: what is on its way out is lost."""
         self._connection.close()
 
+    def end(self) -> None:
+        """End the connection, and take no more from it; what has been written reaches the client."""
+        self._ending = True
+        self._connection.end()
+
     def _feed(self, data: memoryview) -> int:
         if self._ending:
+            # Past the bound it is not read while it is owed something: what it floods us with waits at its
+            # side, and answers that are owed on it are not lost.
+            if self._passed_over > MOST and not self.is_idle:
+                return 0
             self._passed_over += len(data)
-            if self._passed_over > MOST:  # what is open on it no longer counts for more than reading this
-                self.close()
             return len(data)
         frames: list[Frame] = []
         taken, lost = len(data), ""
@@ -139,7 +166,7 @@
 
     def _end_if_done(self) -> None:
         if self._ending and self.is_idle:
-            self.close()
+            self._connection.end()
 
     def _take(self, frame: Frame) -> None:
         COUNTERS.add(f"client.frame.{frame.type}" if frame.type in SENT else "client.frame.unknown")
@@ -223,9 +250,17 @@
 class Listener:
     """Takes in connections of clients, no more than it may hold: past that the longest idle one ends."""
 
-    def __init__(self, address: tuple[str, int], most: int, pool: Pool, clock: Clock, pulls: Pulls) -> None:
+    def __init__(
+        self, address: tuple[str, int], most: int, pool: Pool, clock: Clock, pulls: Pulls,
+        greets_within: float = 0.0,
+    ) -> None:  # fmt: skip
         self.most, self._pool, self._clock, self._pulls = most, pool, clock, pulls
+        self._greets_within = greets_within  # ms by which a new connection's first pull has come
         self.clients: set[Client] = set()  # a client leaves when its connection has ended
+        # Those that were ended and are still read to a bound. They hold descriptors: with `clients` they are
+        # no more than `most`, and the oldest gives its place at once.
+        self._leaving: dict[Client, None] = {}
+        self._tasks: TaskGroup | None = None
         self._draining = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -235,39 +270,69 @@
 
     async def run(self, tasks: TaskGroup) -> None:
         """Accept for ever."""
+        self._tasks = tasks
         while True:
-            await anyio.wait_readable(self._sock)
+            try:
+                await anyio.wait_readable(self._sock)
+            except (anyio.ClosedResourceError, ValueError, OSError):
+                return  # by `end_all`
             for _ in range(ACCEPTED):
-                idlest = self._idlest() if len(self.clients) >= self.most else None
-                if len(self.clients) >= self.most and idlest is None:
-                    await anyio.sleep(0.01)  # a pull is open on each: those that end make room
+                taken = self.accept()
+                if taken is None:
+                    await anyio.sleep(0.01)  # no place, or no descriptor: those that end make room
+                if not taken:
                     break
-                try:
-                    sock, (address, *_) = self._sock.accept()
-                    client = Client(sock, self._pool, self._clock, self._pulls, address)
-                except (BlockingIOError, ConnectionAbortedError):
-                    break
-                except OSError as error:
-                    COUNTERS.add("client.not_accepted")
-                    say("client.not_accepted", why=str(error))
-                    await anyio.sleep(0.01)  # out of descriptors: those that end make room
-                    break
-                COUNTERS.add("client.accepted")
-                if idlest is not None:
-                    COUNTERS.add("client.gave_place")
-                    self._end(idlest)
-                self.clients.add(client)
-                COUNTERS.see("client.connections", len(self.clients))
-                tasks.start_soon(self._serve, client)
+
+    def accept(self) -> bool | None:
+        """Take one connection in; False where none waits, None where there is no place for it now."""
+        if self._tasks is None or self._sock.fileno() < 0:
+            return False
+        full = len(self.clients) + len(self._leaving) >= self.most
+        idlest = next(iter(self._leaving), None) or self._idlest() if full else None
+        if full and idlest is None:
+            return None
+        try:
+            sock, (address, *_) = self._sock.accept()
+            client = Client(sock, self._pool, self._clock, self._pulls, address)
+        except (BlockingIOError, ConnectionAbortedError):
+            return False
+        except OSError as error:
+            COUNTERS.add("client.not_accepted")
+            say("client.not_accepted", why=str(error))
+            return None
+        COUNTERS.add("client.accepted")
+        if idlest is not None:
+            COUNTERS.add("client.gave_place")
+            self._leaving.pop(idlest, None)
+            self.clients.discard(idlest)
+            idlest.close()  # what it was written last was long ago; its descriptor is free at once
+        self.clients.add(client)
+        COUNTERS.see("client.connections", len(self.clients))
+        self._tasks.start_soon(self._serve, client)
+        return True
 
     def _idlest(self) -> Client | None:
         """Return the connection that has been idle longest, if there is one on which nothing is open."""
         by_age = sorted(self.clients, key=lambda client: client.used_at)
-        return next((client for client in by_age if client.is_spare), None)
+        return next((client for client in by_age if client.may_go(self._greets_within)), None)
 
     def _end(self, client: Client) -> None:
-        client.close()
-        self.clients.discard(client)  # its descriptor is free at once
+        """End a connection; its descriptor is free when its client has seen that."""
+        self.clients.discard(client)
+        self._leaving[client] = None
+        client.end()
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no connection is left, not even one that has been ended and is still read."""
+        return not self.clients and not self._leaving
+
+    def end_all(self) -> None:
+        """End all connections, and take no more in: the front ends. What has been written reaches clients."""
+        anyio.notify_closing(self._sock)
+        self._sock.close()
+        for client in [*self.clients, *self._leaving]:
+            client.end()
 
     async def _serve(self, client: Client) -> None:
         try:
@@ -277,6 +342,7 @@
             say("client.failed", error)
         finally:
             self.clients.discard(client)
+            self._leaving.pop(client, None)
 
     async def end_overdue(self, longest: float) -> None:
         """End what holds a place or buffers for longer than it may, for ever."""
@@ -284,6 +350,7 @@
             await anyio.sleep(LOOK)
             self.make_room(longest)
             for client in list(self.clients):
+                client.end_half_frame()
                 if client.is_overdue():
                     COUNTERS.add("client.overdue")
                     self._end(client)
@@ -293,7 +360,8 @@
         for client in list(self.clients):
             if client.is_stalled(longest):
                 COUNTERS.add("client.stalled")
-                self._end(client)
+                client.close()  # its buffers are wanted at once, and it takes nothing
+                self.clients.discard(client)
 
     def drain(self) -> None:
         """Ask all clients to send no new pull, those to come as well."""
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -1,5 +1,6 @@
 """One TCP connection: reads into lent buffers, and writes messages whole and in order."""
 
+import errno
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -10,6 +11,11 @@
 from cometseam.transport.clock import Clock
 
 Part = bytes | memoryview
+# How long after the last byte was written, and how many bytes, a connection is read whose write side has
+# ended: what comes unread to a closed socket makes the system send a reset, which can destroy answers already
+# written (RFC 9112, 9.6).
+LINGER, LINGER_BYTES = 1.0, 262144  # s; bytes: one message of the largest size
+CLOSE_WAIT = 8  # TCP_INFO's first byte: the other side has ended, also where unread input comes before that
 
 
 class Outgoing:
@@ -39,7 +45,17 @@
         self._out: deque[Outgoing] = deque()
         self._stuck = anyio.Event()
         self.stuck_since = 0.0  # when the other side last stopped taking what is written
+        self._wrote_at = 0.0
         self.closed = False
+        self.starved = False  # its reading waits for room of this program's own
+        self._ends = anyio.Event()  # set when the write side is to end
+        self._shut = self._heeds_end = False
+        self._passed_over = 0  # bytes read after that
+
+    @property
+    def is_ending(self) -> bool:
+        """Tell whether nothing new is written to it."""
+        return self.closed or self._ends.is_set()
 
     @property
     def is_stuck(self) -> bool:
@@ -53,10 +69,26 @@
         except OSError:
             return False
 
+    def has_left(self) -> bool:
+        """Tell whether the other side has ended or reset it, as far as that shows behind unread input."""
+        if self.closed:
+            return True
+        try:
+            if not self._sock.recv(1, socket.MSG_PEEK):
+                return True
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        try:
+            return self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == CLOSE_WAIT
+        except (OSError, IndexError, AttributeError):  # not told here: it shows when it is read
+            return False
+
     def send(self, parts: list[Part], done: Callable[[bool], None] | None = None) -> Outgoing:
         """Write a message, at once as far as the socket takes it."""
         message = Outgoing(parts, done)
-        if self.closed:
+        if self.is_ending:
             message.finish(False)
             return message
         if not self._out:
@@ -86,7 +118,7 @@
             except OSError:
                 self.close()
                 return
-            self.stuck_since = self._clock.now()
+            self.stuck_since = self._wrote_at = self._clock.now()
             message.begun = True
             while message.parts and sent >= len(message.parts[0]):
                 sent -= len(message.parts.pop(0))
@@ -96,12 +128,44 @@
                 continue
             self._out.popleft()
             message.finish(True)
+        self._shut_if_written()
+
+    def end(self) -> None:
+        """End it without a loss: what waits is written, then the write side ends, then it is read to a bound.
+
+        It may be called again; `close` ends it at once.
+        """
+        if not self.is_ending:
+            self._ends.set()
+            self._shut_if_written()
 
-    async def run(self, feed: Callable[[memoryview], int]) -> None:
-        """Hand all that comes in to `feed`, which tells how much it took, until the connection ends."""
+    def _shut_if_written(self) -> None:
+        if self._ends.is_set() and not self._out and not self._shut and not self.closed:
+            self._shut = True
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+            except OSError as error:
+                if error.errno != errno.ENOTCONN:  # it was reset: reading tells so
+                    self.close()
+
+    async def _linger(self) -> None:
+        await self._ends.wait()
+        while self._out and not self.closed:  # bounded by whoever ends what is stalled
+            await self._pool.wait()
+        # What was written longer ago has reached it.
+        await anyio.sleep(max(LINGER - (self._clock.now() - self._wrote_at) / 1000.0, 0.0))
+        self.close()
+
+    async def run(self, feed: Callable[[memoryview], int], heeds_end: bool = False) -> None:
+        """Hand all that comes in to `feed`, which tells how much it took, until the connection ends.
+
+        With `heeds_end` the other side's end ends it although something that it sent is still unread.
+        """
+        self._heeds_end = heeds_end
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._write_on)
+                tasks.start_soon(self._linger)
                 await self._read(feed)
                 tasks.cancel_scope.cancel()
         finally:
@@ -114,15 +178,22 @@
             except (anyio.ClosedResourceError, ValueError, OSError):
                 return
             while (buffer := self._pool.take()) is None:
-                await self._pool.wait()
+                if await self._wait_for_room():
+                    return
             try:
                 size = 0 if self.closed else self._sock.recv_into(buffer)
                 if not size:
                     return
+                if self._shut:
+                    self._passed_over += size
+                    if self._passed_over > LINGER_BYTES:
+                        return
+                    continue
                 view = memoryview(buffer)[:size]
                 while (taken := feed(view)) < len(view):
                     view = view[taken:]
-                    await self._pool.wait()
+                    if await self._wait_for_room():
+                        return
             except (BlockingIOError, InterruptedError):
                 continue
             except OSError:
@@ -130,6 +201,18 @@
             finally:
                 self._pool.give_back([buffer])
 
+    async def _wait_for_room(self) -> bool:
+        """Wait a moment for room; tell whether the other side has left meanwhile.
+
+        Guards against pulls that are sent on for clients who have gone: nothing is read now that would tell.
+        """
+        self.starved = True
+        try:
+            await self._pool.wait()
+        finally:
+            self.starved = False
+        return self._heeds_end and self.has_left()
+
     async def _write_on(self) -> None:
         while not self.closed:
             await self._stuck.wait()
@@ -148,6 +231,7 @@
         self.closed = True
         anyio.notify_closing(self._sock)
         self._sock.close()
+        self._ends.set()
         self._stuck.set()
         while self._out:
             self._out.popleft().finish(False)
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -31,6 +31,9 @@
 # Parts of the time that a connection may take to come up: a silence after which it is asked whether it works,
 # and how long it may take to say so.
 SILENCE, REPLY = 0.5, 0.5
+# Times the same: how long a doubted connection may send bytes of no whole answer, or the rest of an answer
+# come that nobody waits for any more (or as long again as it has taken so far, where that is longer).
+LAST_WORD = 2.0
 
 
 class How(StrEnum):
@@ -59,6 +62,9 @@
     outgoing: Outgoing | None = None
     written_at: float = 0.0  # 0: not written whole
     again: bool = False  # the connection it was to go over broke before it was written whole
+    # Cleared where its pull has its final answer or its client has left, or it was decided before a drain, a
+    # purge or a new start: from then on no byte of it is written anew.
+    wanted: bool = True
 
 
 @dataclass(slots=True)
@@ -107,16 +113,20 @@
         self._sent = self._strays = 0  # relays written, and answers to none of those that are out
         self._watch: Timer | None = None  # while relays are out
         self._doubted = False  # silent: nothing new is sent until it is heard of
+        self._doubted_at = 0.0
+        self._inside_since = 0.0  # when the answer that is half read began; 0: there is none
+        self._unwanted = False  # nobody waits for that answer: nothing new is sent behind it
         self._decoder = Decoder(around.pool.room)
 
     def is_usable(self) -> bool:
         """Tell whether relays may be sent over it."""
-        return self.connection is not None and not self.connection.closed and not self._doubted
+        usable = self.connection is not None and not self.connection.closed
+        return usable and not self._doubted and not self._unwanted
 
     def load(self, id: str) -> tuple[bool, int] | None:
         """Tell how busy it is; None: it can't take a relay of this id."""
         connection, out = self.connection, len(self.asks)
-        if connection is None or connection.closed or self._doubted or out >= self._around.links.streams:
+        if connection is None or not self.is_usable() or out >= self._around.links.streams:
             return None
         if id in self.asks or (id in self.past and (self.past[id] or self._around.share > 1)):
             return None  # a late answer to the earlier relay, or a second one, would be taken for this one's
@@ -171,10 +181,15 @@
         except Malformed as error:
             unusable = str(error)
         if answers:
-            self._doubted = False
+            self._doubted = self._unwanted = False
+        if not self._decoder.is_inside:
+            self._inside_since = 0.0
+        elif answers or not self._inside_since:
+            self._inside_since = self._heard_at
         for answer in answers:
             ask = self.asks.get(answer.id)
-            if ask is not None and answer.copy_holds and not ask.command.held_tag:
+            if ask is not None and answer.copy_holds and not _names(answer, ask.command.held_tag):
+                # A copy is called current only where a cache has named that very copy.
                 unusable = "a client's copy that was not told of"
             elif ask is not None:
                 del self.asks[answer.id]
@@ -211,12 +226,16 @@
         out, each relay by itself. It harms where a peer stands still for so long and then goes on.
         """
         self._watch = None
-        if not self.asks or not self.is_usable() or self.connection is None:
+        if not self.asks or self._doubted or self.connection is None or self.connection.closed:
             return
         silence = SILENCE * self._around.links.connect_within
         due = max(self._heard_at, self._busy_since) + silence
         now = self._around.clock.now()
-        if due > now or self.connection.has_input():  # what is to be read is no silence
+        if self._inside_since and now - self._inside_since > self._around.links.longest_cut_off:
+            # Guards against an answer that dribbles for ever: to the look above it is never silent.
+            COUNTERS.add("peer.never_ends")
+            self.close()
+        elif due > now or self.connection.has_input():  # what is to be read is no silence
             self._watch = self._around.timers.at(max(due, now + silence), self._look)
         elif self._decoder.is_inside:
             COUNTERS.add("peer.stopped_short")
@@ -258,6 +277,9 @@
         id = ask.command.id
         self.asks.pop(id, None)
         self._decoder.drop(id)
+        half = self._decoder.half_read
+        if half is not None and half not in self.asks and not self._unwanted:
+            self._pass_over()
         if ask.written_at:
             self._remember(id, given_up=True)
             self.connection.send([write_stop(id)])
@@ -270,25 +292,52 @@
         """Ask whether a silent connection works: that of a machine that has vanished stays open."""
         if self._doubted or self.connection is None:
             return
-        self._doubted = True
+        self._doubted, self._doubted_at = True, self._around.clock.now()
         COUNTERS.add("peer.doubted")
         self.connection.send([write_hello("alive")])
-        due = self._around.clock.now() + REPLY * self._around.links.connect_within
+        due = self._doubted_at + REPLY * self._around.links.connect_within
         self._around.timers.at(due, self._end_doubt)
 
     def _end_doubt(self) -> None:
-        if self._doubted and self.connection is not None and not self.connection.has_input():
-            COUNTERS.add("peer.silent")
-            self.close()
+        """End a doubted connection that has said nothing; one that sends is looked at again, to a bound.
+
+        Guards against one that is left doubted, so unusable, for ever: by an answer that does not end.
+        """
+        if self._doubted and self.connection is not None and not self.connection.closed:
+            links, now = self._around.links, self._around.clock.now()
+            speaks = self.connection.has_input() or self._heard_at > self._doubted_at
+            if speaks and now - self._doubted_at < LAST_WORD * links.connect_within:
+                self._around.timers.at(now + REPLY * links.connect_within, self._end_doubt)
+            else:
+                COUNTERS.add("peer.silent")
+                self.close()
         elif self.asks and self._watch is None:
             self._look()
 
+    def _pass_over(self) -> None:
+        """Wait for the rest of an answer that nobody wants any more, to a bound."""
+        self._unwanted = True
+        began, now = self._inside_since, self._around.clock.now()
+        rest = max(LAST_WORD * self._around.links.connect_within, now - began)
+
+        def look() -> None:
+            if self._unwanted and self._inside_since == began:
+                COUNTERS.add("peer.never_ends")
+                self.close()
+
+        self._around.timers.at(now + rest, look)
+
     def close(self) -> None:
         """End the connection, and with it all that is out on it."""
         if self.connection is not None:
             self.connection.close()
 
 
+def _names(answer: Answer, held_tag: str) -> bool:
+    """Tell whether an answer names the copy that the client holds."""
+    return bool(held_tag) and answer.tag == held_tag
+
+
 @dataclass(slots=True)
 class Peer:
     """The actor: its mailbox, its connections and what is out to it."""
@@ -340,6 +389,8 @@
         begun = ask.outgoing is not None and (ask.outgoing.begun or ask.written_at)
         if not (message.if_unsent and begun):
             self._stop(ask, How.GIVEN_UP)
+        else:
+            ask.wanted = False  # should its connection break before it is written whole, it is decided anew
 
     def place(self) -> None:
         """Give what waits to connections; bring another up where all that are open are at work."""
@@ -353,6 +404,9 @@
                 channel.close()
         waiting, self._waiting, share = self._waiting, [], self.around.share
         for ask in waiting:
+            if not ask.wanted:
+                self.end(ask, How.UNSENT)
+                continue
             best: Channel | None = None
             least, coming = (True, links.streams), False
             for channel in self._channels:
@@ -381,7 +435,7 @@
         for ask in asks:
             if ask.written_at:
                 self.end(ask, How.BROKEN)
-            elif ask.again:
+            elif ask.again or not ask.wanted:
                 self.end(ask, How.UNSENT)
             else:  # a connection that breaks when new or idle tells nothing of the peer: it takes another
                 ask.channel, ask.outgoing, ask.again = None, None, True
--- a/cometseam/wirehost.py
+++ b/cometseam/wirehost.py
@@ -4,7 +4,7 @@
 import sys
 from typing import BinaryIO
 
-from cometseam.interface import Settings
+from cometseam.interface import Recall, Settings
 from cometseam.logic import Front
 from cometseam.reading import Faulty, Section
 from cometseam.settings import read_settings
@@ -29,7 +29,9 @@
                 except Exception as error:  # the wire has a record for a module that fails
                     records.append((instance, bug(f"{type(error).__name__}: {error}")))
                     continue
-                records += [(instance, write_action(action)) for action in actions]
+                # What is sent is sent at once here: there is nothing to take back before it is written.
+                sent = (action for action in actions if not (isinstance(action, Recall) and action.if_unsent))
+                records += [(instance, write_action(action)) for action in sent]
         sink.write(write_reply(records))
         sink.flush()
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from contextlib import suppress
@@ -11,6 +12,7 @@
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 
 from tests.drive import ENDS, SAMPLE, Got, fields_of, frame, order, resp, world
 
@@ -325,6 +327,45 @@
         assert counts["answer.served"] == 2
 
 
+async def test_a_pull_half_read_at_the_end_and_further_signals_cost_nothing(tmp_path: Path) -> None:
+    """It would end at 0.7 s: a frame that has begun is waited for; signals meanwhile change nothing."""
+    async with world(tmp_path) as here:
+        caller, raw = await here.call(), order(1, body=bytes(70_000))
+        await caller.send(frame(32, 1), raw[:60_000])
+        assert (await caller.next()).type == 33  # what came before it is read, so it has begun
+        here.process.send_signal(signal.SIGTERM)
+        assert (await caller.next()).type == 48
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            here.process.send_signal(number)
+        with anyio.move_on_after(0.9):  # past the time at which it would have ended
+            await here.process.wait()
+        assert here.process.returncode is None
+        await caller.send(raw[60_000:])
+        await (await here.caches["cache-1"].next()).answer("DONE", f"tag={TAG},minted=1", b"whole")
+        assert (await caller.next()).body == b"whole" and await caller.ended()
+        counts = await here.end()
+        assert counts["answer.served"] == 1
+
+
+async def test_an_answer_written_just_before_the_end_comes_whole_to_a_slow_reader(tmp_path: Path) -> None:
+    """Guards against the end of the process cutting off, or resetting, what a client has not read yet."""
+    body = os.urandom(240_000)
+    async with world(tmp_path) as here:
+        caller = await here.call()
+        sock = caller.stream.extra(SocketAttribute.raw_socket)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await caller.send(order(1, ram="1"))
+        asked = await here.caches["cache-1"].next()
+        here.process.send_signal(signal.SIGTERM)
+        await here.logged(b"drains")
+        await asked.answer("DONE", f"tag={TAG},minted=1", body)
+        await caller.send(frame(32, 1))  # and there is input beside it, to the very end
+        got = [await caller.next() for _ in range(3)]
+        assert sorted(frame.type for frame in got) == [17, 33, 48]
+        assert next(frame.body for frame in got if frame.type == 17) == body and await caller.ended()
+        await here.end()
+
+
 async def test_a_client_that_does_not_read_holds_up_only_itself(tmp_path: Path) -> None:
     body = bytes(240_000)
     async with world(tmp_path) as here:
