Let a class's large pulls be late where they get less than their part of the answers

Cause: _in_time, and 'soon' in _fills, hold every pull to its quoted time, by the byte (the square root in _in_time), so in a crowd all that are large are shed first.

Change: the module keeps, per workload, the share answered lately of all pulls, of those above the mean and above twice it; a pull of a part that gets under 0.8 of the whole may come by its cut-off instead of its quoted time. Bounded: three figures a workload.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -37,6 +37,7 @@
 BACK_OFF, LONGEST_BACK_OFF = 400.0, 6400.0  # ms that a struck cache is left alone, at first and at most
 FILL_PART = 0.5  # fills out at first, as a part of the relays that the zone's caches may have out
 LATE, LOOKS, PATIENCE = 600.0, 200.0, 4.0  # ms past PATIENCE times its own time when a fill, a look times out
+FAIR, WEIGH = 0.8, 0.05  # part of a workload's answered share below which its large may be late; one's weight
 LOSING, HASTE = 0.12, 1.5  # share of lost answers from where that is HASTE times the pace that answers have
 NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
 SOURCE_AT_FAULT = (Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE)
@@ -169,6 +170,8 @@
         self.cuts, self.uncut = [0.0, 0.0], 0
         self.link_full = float("inf")  # transfers on the zone's link over those that fit, as last told
         self.usual_wait = self.past = 100.0  # ms to a fetched copy; of fills past their sending
+        # The share answered lately of all pulls of a workload, of those above its mean, and above twice that.
+        self.answered = [[1.0, 1.0, 1.0] for _ in settings.workloads]
         self.mean_sending = [workload.quoted for workload in settings.workloads]
         self.purged: dict[tuple[int, int], tuple[float, float]] = {}  # made, void; a new one clears these
         self.plans, self.easing = Ledger(Plans(())), Easing(self.random)
@@ -381,7 +384,7 @@
             # In the same way a slow origin, asked for more than it can do, is in time for nobody: past a
             # limit of its own a parent gives only what it holds.
             taking = (self.usual_wait + held.sending) * self.fetches.crowded(self.now)
-            soon = taking <= held.quoted_by - self.now and self.fetches.out + 1 <= self.fetches.size
+            soon = taking <= self._due(held) - self.now and self.fetches.out + 1 <= self.fetches.size
             soon = soon or held.is_write
             for e in sources:
                 # With many fronts a source's link is full long before a front's own limit tells.
@@ -399,7 +402,26 @@
         unsure = 1.0 + UNSURE * (1.0 - 1.0 / self.here)
         taking: float = held.sending * (1.0 + (limit.stretch(self.now) - 1.0) * large * unsure)
         idle = limit.out + 1 <= IDLE * limit.size and limit.crowded(self.now) + self.late / SLACK <= 1 + IDLE
-        return taking <= CERTAIN * ((held.cut_off if idle else held.quoted_by) - self.now)
+        return taking <= CERTAIN * ((held.cut_off if idle else self._due(held)) - self.now)
+
+    def _tier(self, held: Held) -> int:
+        """Tell whether it is above the mean of its workload (1), and above twice that (2)."""
+        large = held.sending / max(self.mean_sending[held.pull.workload], 1.0)
+        return (large > 1.0) + (large > 2.0)
+
+    def _due(self, held: Held) -> float:
+        """Tell by when it should be answered: the quoted time, or its cut-off.
+
+        Guards the large, which a crowd's room by the byte sheds first: where fewer of them are answered of
+        late than is their part, they may be late. It costs room that smaller ones earn more with.
+        """
+        shares, tier = self.answered[held.pull.workload], self._tier(held)
+        return held.cut_off if tier and shares[tier] < FAIR * shares[0] else held.quoted_by
+
+    def _count(self, held: Held, done: bool) -> None:
+        shares = self.answered[held.pull.workload]
+        for tier in {0, self._tier(held)}:
+            shares[tier] += WEIGH * (done - shares[tier])
 
     def _sources(self, held: Held) -> list[Server]:
         """Tell where a miss may be filled from, best first."""
@@ -540,6 +562,7 @@
     def _answer(self, held: Held) -> None:
         """Give the final answer: shed where trying again is harmless, else errored."""
         held.open, workload, s = False, held.workload, self.settings
+        self._count(held, False)
         dropped = workload.effect is Effect.TAGGED and workload.group is Group.ALL  # a repeat is known
         if held.maybe is None or workload.effect is Effect.REPEATABLE or dropped:
             back = min(self.easing.later(held.plan.come_back_in or workload.quoted), s.longest_retry)
@@ -567,6 +590,8 @@
         self._learn(held, event)
         if event.outcome in NEVER_RAN and held.maybe and held.maybe[2] == event.relay:
             held.maybe = None
+        if held.open and event.outcome is Outcome.OK:
+            self._count(held, True)
         held.open = held.open and not event.closed and event.outcome is not Outcome.OK
         if held.open and held.failures > failures:
             rest = wait(held.plan, held.failures, self.random)
