A front's end waits for no operator's file that is still being read

Cause: a sealed form is read on a worker thread of anyio's pool. abandon_on_cancel leaves it, but the interpreter joins the pool's threads when it ends (anyio's WorkerThread is not a daemon), so a file whose reading hangs (a FIFO, a mount that is gone) kept the process up after its last answer, until SIGKILL. Change: a daemon thread of its own, left behind when cancelled. The tests' list of children no longer fails on a thread that has just ended.

--- a/cometseam/operator/load.py
+++ b/cometseam/operator/load.py
@@ -10,11 +10,16 @@
 import signal
 import subprocess
 import sys
+import threading
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import anyio
+import anyio.from_thread
+from anyio.lowlevel import current_token
 
 from cometseam.operator.compiled import Compiled, Fault, Refused, read
 from cometseam.operator.sealed import is_sealed, load_sealed
@@ -152,5 +157,28 @@
 async def for_front_async(path: Path, settings: dict[str, Any]) -> Compiled:
     """Load it anew beside what is served: a sealed form on a worker thread, so that the loop goes on."""
     if is_sealed(path):
-        return await anyio.to_thread.run_sync(load_sealed, path, settings, abandon_on_cancel=True)
+        return await _beside(lambda: load_sealed(path, settings))
     return await load_apart_async(path, settings)
+
+
+async def _beside(work: Callable[[], Compiled]) -> Compiled:
+    """Do some work on a thread; cancelled, it is left behind, and the process ends without it.
+
+    Guards the end of a front against a file whose reading hangs: a pool's worker threads are joined then.
+    """
+    token, done = current_token(), anyio.Event()
+    came: list[Compiled | BaseException] = []
+
+    def run() -> None:
+        try:
+            came.append(work())
+        except BaseException as error:
+            came.append(error)
+        with suppress(anyio.RunFinishedError):  # nobody waits any more: the front has ended
+            anyio.from_thread.run_sync(done.set, token=token)
+
+    threading.Thread(target=run, name="operator's file", daemon=True).start()
+    await done.wait()
+    if isinstance(came[0], BaseException):
+        raise came[0]
+    return came[0]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 import anyio
@@ -59,7 +60,7 @@
     """The processes that this one started and that are there now, by its threads' own lists."""
     found = []
     for task in os.listdir(f"/proc/{pid}/task"):
-        with open(f"/proc/{pid}/task/{task}/children") as file:
+        with suppress(FileNotFoundError), open(f"/proc/{pid}/task/{task}/children") as file:  # it has ended
             found += file.read().split()
     return found
 
