A connection that gives its place ends write side first, and a drain waits for places

Cause 1: Listener.accept closed the idlest at once for its descriptor, after a look that nothing was unread. A pull that its client sends between the look and the end meets a closed socket; the reset destroys the answer written just before (seen: the reader gets ECONNRESET in place of the end). Cause 2: program._drain read accept()'s None (no place for what waits) as False (nothing waits), and ended with a connection that the machine had accepted. Change: the idlest ends as all others do (write side, then read to a bound); those on their way out may hold a sixteenth of the places beside the served; one gives its descriptor at once only after the 50 ms in which the protocol lets input cross an end. The drain goes on while None. tests/test_front.py's clients close their side when they see the end, as clients do, so that the relay held meanwhile does not time out.

--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -200,7 +200,8 @@
         # What waits to be accepted, or to be read, has come: its client counts on an answer.
         came = listener.accept()
         owed = router.owes or not all(client.is_quiet for client in listener.clients)
-        if not came and not owed and now >= began + KILLED_PAST:
+        # None: there was no place for what waits to be accepted; it has come all the same.
+        if came is False and not owed and now >= began + KILLED_PAST:
             break
         if now >= last + longest + KILLED_PAST:
             break  # a client that sends or takes nothing more: nobody waits for it
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -34,6 +34,8 @@
 FIRST_WORD, IDLE = 2000.0, 4500.0  # ms
 LOOK = 0.25  # s between two looks for what has lasted too long
 ACCEPTED = 16  # connections taken in one turn of the loop
+SPARE = 16  # part of the places that those on their way out may have beside those that are served
+CROSSES = 50.0  # ms by the protocol in which what a client sends may cross the end of its connection
 
 
 class Pulls(Protocol):
@@ -248,7 +250,10 @@
 
 
 class Listener:
-    """Takes in connections of clients, no more than it may hold: past that the longest idle one ends."""
+    """Takes in connections of clients, no more than it may hold: past that the longest idle one ends.
+
+    It ends write side first and is read to a bound, so that what crosses its end destroys no answer.
+    """
 
     def __init__(
         self, address: tuple[str, int], most: int, pool: Pool, clock: Clock, pulls: Pulls,
@@ -257,9 +262,9 @@
         self.most, self._pool, self._clock, self._pulls = most, pool, clock, pulls
         self._greets_within = greets_within  # ms by which a new connection's first pull has come
         self.clients: set[Client] = set()  # a client leaves when its connection has ended
-        # Those that were ended and are still read to a bound. They hold descriptors: with `clients` they are
-        # no more than `most`, and the oldest gives its place at once.
-        self._leaving: dict[Client, None] = {}
+        # Those that were ended, and when; they are still read to a bound. They hold descriptors: with
+        # `clients` they are at most `_bound`, and the one that was ended first gives its place at once.
+        self._leaving: dict[Client, float] = {}
         self._tasks: TaskGroup | None = None
         self._draining = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -287,9 +292,9 @@
         """Take one connection in; False where none waits, None where there is no place for it now."""
         if self._tasks is None or self._sock.fileno() < 0:
             return False
-        full = len(self.clients) + len(self._leaving) >= self.most
-        idlest = next(iter(self._leaving), None) or self._idlest() if full else None
-        if full and idlest is None:
+        places = len(self.clients) + len(self._leaving)
+        idlest = self._idlest() if places >= self.most and not self._leaving else None
+        if places >= self.most and idlest is None and not self._leaving:
             return None
         try:
             sock, (address, *_) = self._sock.accept()
@@ -299,13 +304,19 @@
         except OSError as error:
             COUNTERS.add("client.not_accepted")
             say("client.not_accepted", why=str(error))
+        if places >= self._bound:
+            # The descriptor is wanted now. Past the time in which what a client sent may cross the end, a
+            # reset can destroy nothing any more.
+            ended_first, at = next(iter(self._leaving.items()), (None, 0.0))
+            if ended_first is None or self._clock.now() - at < CROSSES:
+                return None
+            del self._leaving[ended_first]
+            ended_first.close()
             return None
         COUNTERS.add("client.accepted")
         if idlest is not None:
             COUNTERS.add("client.gave_place")
-            self._leaving.pop(idlest, None)
-            self.clients.discard(idlest)
-            idlest.close()  # what it was written last was long ago; its descriptor is free at once
+            self._end(idlest)
         self.clients.add(client)
         COUNTERS.see("client.connections", len(self.clients))
         self._tasks.start_soon(self._serve, client)
@@ -319,7 +330,12 @@
     def _end(self, client: Client) -> None:
         """End a connection; its descriptor is free when its client has seen that."""
         self.clients.discard(client)
-        self._leaving[client] = None
+    @property
+    def _bound(self) -> int:
+        """Tell how many connections it may hold with those on their way out."""
+        return self.most + max(self.most // SPARE, 1)
+
+        self._leaving[client] = self._clock.now()
         client.end()
 
     @property
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -395,6 +395,7 @@
             late = await here.call()
             await late.send(frame(32, 1))
             assert (await late.next()).code == 1 and await idle.ended()
+            await idle.stream.aclose()  # as clients do; one that does not is left after 50 ms
         await asked.answer("DONE", f"tag={TAG},minted=1", b"x")
         assert (await first.next()).body == b"x"
         counts = await here.stop()
