Nothing is sent on for a client that left while the front stood still, nor past a window

Cause 1 (the 0.3 s rule): a client's end is seen only by the next read of its connection, some turns after its pull was handed on. Where the front stands still (paused, its core taken) both lie unread together, and the router sends first. Ruled out: a withdrawal (type 18) in the same bytes, which was kept. A relay that waits for a late connection had the same gap. Change: a connection of a client is read once more at once after a short read, its end is told in that very turn, a pull taken over 200 ms ago has its client's socket looked at before it is decided or written, and what has left is told to the module before its relay's end. Cause 2 (the second rule): a tagged pull's further relay was checked against its window when it was decided; it may then wait for a connection up to dialTimeout, or behind one that takes no bytes, and be written when caches no longer know it as a repeat. Change: the module says within what time it may begin (Relay.within); Peer.place, which every relay passes, holds it; a timer takes it back.

--- a/cometseam/interface.py
+++ b/cometseam/interface.py
@@ -358,6 +358,7 @@
     renew: bool
     time_out: float
     oldest: float
+    within: float = 0.0  # ms from now past which no byte of it may be written first; 0: any time
 
 
 @dataclass(slots=True)
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -481,6 +481,9 @@
             limit.out += 1
         target.credit -= float(further)
         held.account.count(self.now, further, held.relays)
+        # A repeat is dropped only for so long: it may not wait to be written past that.
+        within = held.maybe[0] + held.workload.window - self.now if held.maybe else 0.0
+        within *= held.workload.effect is Effect.TAGGED
         held.maybe = held.maybe or (self.now, target.told, held.relays)
         held.relays += 1
         slowing = self.fills if held.fills else target.load
@@ -493,7 +496,7 @@
         lasts = left if held.workload.effect is Effect.ONCE_ONLY else lasts
         lasts, second = times(held.plan, source is target, held.is_write, further, held.sending, lasts, left)
         self.actions.append(Relay(pull.id, target.told.cache, source.told.cache, rank, s.joins, way.only_held,
-                                  False, False, lasts, oldest))  # fmt: skip
+                                  False, False, lasts, oldest, within))  # fmt: skip
         if s.recalls and second < lasts:
             self.actions.append(Wake(pull.id << MARK | held.relays, second))
         return True
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -33,6 +33,11 @@
     from cometseam.routing.levels import Levels
 
 
+# ms after which a pull's client is looked at itself before anything is sent for the pull: nothing is sent on
+# later than 300 ms after its client has left, and what tells of that may lie unread while the front is late.
+LOOK_AFTER = 200.0
+
+
 @dataclass(slots=True, eq=False)
 class Open:
     """A pull that is owed an answer or whose relay is out; it leaves when neither holds."""
@@ -261,9 +266,7 @@
             case Left():
                 pull = self._by_stream.get((message.client, message.stream))
                 if pull is not None:
-                    COUNTERS.add("pull.hung_up")
-                    self._settle(pull, "hung_up")
-                    self._decide(i.HungUp(pull.number))
+                    self._hung_up(pull)
             case i.Rang() | i.Capped() | i.Allotted() | i.Closing():
                 self._decide(message)
             case i.Lagged():
@@ -290,7 +293,8 @@
 
     def _taken(self, taken: Taken) -> None:
         order, now = taken.order, self._around.clock.now()
-        if not taken.client.awaits(taken.stream):  # guards the others against pulls withdrawn by the hundred
+        # Guards the others against pulls withdrawn by the hundred.
+        if not self._awaits(taken.client, taken.stream, taken.at):
             COUNTERS.add("pull.withdrawn")
             order.frame.free()
             return
@@ -323,6 +327,17 @@
         pull.timer = self._around.timers.at(due, lambda: self._overdue(pull))
         self._decide(event)
 
+    def _awaits(self, client: Client, stream: int, since: float) -> bool:
+        """Tell whether a client still waits for a stream that it asked for at `since`."""
+        if self._around.clock.now() - since > LOOK_AFTER:
+            client.look()
+        return client.awaits(stream)
+
+    def _hung_up(self, pull: Open) -> None:
+        COUNTERS.add("pull.hung_up")
+        self._settle(pull, "hung_up")
+        self._decide(i.HungUp(pull.number))
+
     def _overdue(self, pull: Open) -> None:
         if pull.owed:
             self._settle(pull, "overdue")
@@ -426,6 +441,9 @@
         due = now + relay.time_out if relay.time_out else pull.cut_off
         command = translate.command(relay, pull.order, source.name if source is not None else "")
         ask = Ask(pull.number, pull.relays, command, pull.order.body(), now, due)
+        ask.awaited = lambda: self._awaits(pull.client, pull.stream, pull.taken_at)
+        if relay.within:
+            ask.begin_by = now + relay.within
         peer = self._peer(relay.cache)
         pull.relays += 1
         pull.out = Out(relay, ask, peer)
@@ -468,6 +486,9 @@
             pull.client.served(pull.stream, answer.copy_holds, body)
         elif body is not None:
             body.free()
+        if pull.owed and not pull.client.awaits(pull.stream):
+            # It has left, and word of that is still behind other messages: nothing further is sent for it.
+            self._hung_up(pull)
         if not pull.owed:
             self._settle(pull)
         now = self._around.clock.now()
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -115,12 +115,20 @@
         if draining:
             self.tell_no_more()
         try:
-            await self._connection.run(self._feed, heeds_end=True)
+            await self._connection.run(self._feed, self._withdraw)
         finally:
             self._decoder.close()
-            for stream in sorted(self._open):
-                self._pulls.hang_up(self, stream)
-            self._open.clear()
+            self._withdraw()
+
+    def look(self) -> None:
+        """Look whether the client has left, also where that is still unread; its pulls are withdrawn then."""
+        if self._open and self._connection.has_left():
+            self._withdraw()
+
+    def _withdraw(self) -> None:
+        for stream in sorted(self._open):
+            self._pulls.hang_up(self, stream)
+        self._open.clear()
 
     def awaits(self, stream: int) -> bool:
         """Tell whether an answer on this stream is still wanted."""
@@ -296,14 +304,6 @@
         idlest = self._idlest() if places >= self.most and not self._leaving else None
         if places >= self.most and idlest is None and not self._leaving:
             return None
-        try:
-            sock, (address, *_) = self._sock.accept()
-            client = Client(sock, self._pool, self._clock, self._pulls, address)
-        except (BlockingIOError, ConnectionAbortedError):
-            return False
-        except OSError as error:
-            COUNTERS.add("client.not_accepted")
-            say("client.not_accepted", why=str(error))
         if places >= self._bound:
             # The descriptor is wanted now. Past the time in which what a client sent may cross the end, a
             # reset can destroy nothing any more.
@@ -312,6 +312,14 @@
                 return None
             del self._leaving[ended_first]
             ended_first.close()
+        try:
+            sock, (address, *_) = self._sock.accept()
+            client = Client(sock, self._pool, self._clock, self._pulls, address)
+        except (BlockingIOError, ConnectionAbortedError):
+            return False
+        except OSError as error:
+            COUNTERS.add("client.not_accepted")
+            say("client.not_accepted", why=str(error))
             return None
         COUNTERS.add("client.accepted")
         if idlest is not None:
@@ -322,6 +330,11 @@
         self._tasks.start_soon(self._serve, client)
         return True
 
+    @property
+    def _bound(self) -> int:
+        """Tell how many connections it may hold with those on their way out."""
+        return self.most + max(self.most // SPARE, 1)
+
     def _idlest(self) -> Client | None:
         """Return the connection that has been idle longest, if there is one on which nothing is open."""
         by_age = sorted(self.clients, key=lambda client: client.used_at)
@@ -330,11 +343,6 @@
     def _end(self, client: Client) -> None:
         """End a connection; its descriptor is free when its client has seen that."""
         self.clients.discard(client)
-    @property
-    def _bound(self) -> int:
-        """Tell how many connections it may hold with those on their way out."""
-        return self.most + max(self.most // SPARE, 1)
-
         self._leaving[client] = self._clock.now()
         client.end()
 
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -156,27 +156,35 @@
         await anyio.sleep(max(LINGER - (self._clock.now() - self._wrote_at) / 1000.0, 0.0))
         self.close()
 
-    async def run(self, feed: Callable[[memoryview], int], heeds_end: bool = False) -> None:
+    async def run(
+        self, feed: Callable[[memoryview], int], left: Callable[[], None] | None = None
+    ) -> None:
         """Hand all that comes in to `feed`, which tells how much it took, until the connection ends.
 
-        With `heeds_end` the other side's end ends it although something that it sent is still unread.
+        With `left` the other side's end ends it although something that it sent is still unread, and `left`
+        is told in that very turn: what else ends with the connection takes a few.
         """
-        self._heeds_end = heeds_end
+        self._heeds_end = left is not None
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._write_on)
                 tasks.start_soon(self._linger)
                 await self._read(feed)
+                if left is not None:
+                    left()
                 tasks.cancel_scope.cancel()
         finally:
             self.close()
 
     async def _read(self, feed: Callable[[memoryview], int]) -> None:
+        at_once = False
         while not self.closed:
             try:
-                await anyio.wait_readable(self._sock)
+                if not at_once:
+                    await anyio.wait_readable(self._sock)
             except (anyio.ClosedResourceError, ValueError, OSError):
                 return
+            again, at_once = at_once, False
             while (buffer := self._pool.take()) is None:
                 if await self._wait_for_room():
                     return
@@ -194,6 +202,9 @@
                     view = view[taken:]
                     if await self._wait_for_room():
                         return
+                # Its end may lie behind all that has come: it is seen before what was read has its turn.
+                # Guards against pulls sent on for clients who left while the front was late to read them.
+                at_once = self._heeds_end and not again and size < len(buffer)
             except (BlockingIOError, InterruptedError):
                 continue
             except OSError:
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -65,6 +65,13 @@
     # Cleared where its pull has its final answer or its client has left, or it was decided before a drain, a
     # purge or a new start: from then on no byte of it is written anew.
     wanted: bool = True
+    # Looked at just before its first byte is written: whether its client still waits; until when it may be.
+    awaited: Callable[[], bool] = field(default=lambda: True)
+    begin_by: float = float("inf")
+
+    def may_begin(self, now: float) -> bool:
+        """Tell whether it may be written: for a client that still waits, while a repeat of it is dropped."""
+        return self.wanted and now <= self.begin_by and self.awaited()
 
 
 @dataclass(slots=True)
@@ -379,6 +386,8 @@
         invariant(ask.pull not in self._out, "one relay of a pull out at a time")
         self._out[ask.pull] = ask
         ask.timer = self.around.timers.at(ask.due, lambda: self._stop(ask, How.TIMED_OUT))
+        if ask.begin_by < ask.due:  # it may wait behind others, on a connection that takes no bytes
+            self.around.timers.at(ask.begin_by, lambda: self._give_up(GiveUp(ask, if_unsent=True)))
         self._waiting.append(ask)
         self.place()
 
@@ -398,13 +407,15 @@
             return
         # A peer closes what is idle: what is written just then would be lost.
         links = self.around.links
-        fresh = self.around.clock.now() - (links.idle - links.connect_within)
+        now = self.around.clock.now()
+        fresh = now - (links.idle - links.connect_within)
         for channel in self._channels[:]:
             if not channel.asks and channel.connection and channel.used_at < fresh:
                 channel.close()
         waiting, self._waiting, share = self._waiting, [], self.around.share
         for ask in waiting:
-            if not ask.wanted:
+            # Every relay passes here just before it is written, however long it has waited for a connection.
+            if not ask.may_begin(now):
                 self.end(ask, How.UNSENT)
                 continue
             best: Channel | None = None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,14 @@
-"""Honours KNOWN-RED.txt at the root: a test named there is run, has to fail, and its failure is printed."""
+"""Honours KNOWN-RED.txt at the root: a test named there is run, has to fail, and its failure is printed.
 
+Beside it the fixture that several files force crossings with.
+"""
+
+import socket
+
+import anyio
 import pytest
 
+from cometseam.transport.peer import Channel
 from tests.knownred import FILE, Red, read, unknown
 
 REDS = pytest.StashKey[dict[str, Red]]()
@@ -38,3 +45,18 @@
             terminalreporter.section(f"KNOWN RED {red.test}")
             terminalreporter.write_line(f"{red.cause} ({red.issue})")
             terminalreporter.write_line(report.longreprtext)
+
+
+@pytest.fixture
+def gates(monkeypatch: pytest.MonkeyPatch) -> list[anyio.Event]:
+    """Have each connection to a peer come up only when its gate is opened: as late as the test wants."""
+    held: list[anyio.Event] = []
+    connect = Channel._connect
+
+    async def late(channel: Channel) -> socket.socket:
+        held.append(anyio.Event())
+        await held[-1].wait()
+        return await connect(channel)
+
+    monkeypatch.setattr(Channel, "_connect", late)
+    return held
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -58,6 +58,9 @@
     def awaits(self, stream: int) -> bool:
         return stream not in self.gone
 
+    def look(self) -> None:
+        """It is there until it says otherwise."""
+
     def unusable(self, stream: int, why: str) -> None:
         self._answer(f"{stream} unusable")
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -28,7 +28,7 @@
 from cometseam.transport.client import Client, Listener
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection import Connection
-from cometseam.transport.peer import Ask, Channel, End, GiveUp, How, Peer, Surroundings
+from cometseam.transport.peer import Ask, End, GiveUp, How, Peer, Surroundings
 from tests.drive import Cache, News, order, resp
 from tests.test_actors import CONFIG, LISTING, Caller
 from tests.test_actors import order as ordered
@@ -55,10 +55,14 @@
         self.cache = Cache("c", self.news)
         self.peer: Peer
 
-    async def start(self, serve: Callable[[SocketStream], Any] | None = None) -> None:
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        self.tasks.start_soon(listener.serve, serve or self.cache.serve)
-        self.address = ("127.0.0.1", listener.extra(SocketAttribute.local_port))
+    async def start(
+        self, serve: Callable[[SocketStream], Any] | None = None, address: tuple[str, int] | None = None
+    ) -> None:
+        if address is None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            self.tasks.start_soon(listener.serve, serve or self.cache.serve)
+            address = ("127.0.0.1", listener.extra(SocketAttribute.local_port))
+        self.address = address
         self.peer = Peer("c", self.address, self.around, self.report, Mailbox(64))
         self.tasks.start_soon(self.peer.run)
         self.tasks.start_soon(self.around.timers.run)
@@ -67,10 +71,13 @@
         self.ends.append(end)
         self.news.tell()
 
-    def ask(self, number: int, body: int = 0, lasts: float = 9000.0, tag: str = "") -> Ask:
+    def ask(
+        self, number: int, body: int = 0, lasts: float = 9000.0, tag: str = "", begin_by: float = 9000.0
+    ) -> Ask:
         command = Command(f"{number:016x}", "maps", "7" * 16, 0, "", 0, 0.0, False, False, False, False, tag)
         now = self.around.clock.now()
         ask = Ask(number, 0, command, [memoryview(bytes(body))] if body else [], now, now + lasts)
+        ask.begin_by = now + begin_by
         assert self.peer.mailbox.offer(ask)
         return ask
 
@@ -87,21 +94,6 @@
             tasks.cancel_scope.cancel()
 
 
-@pytest.fixture
-def gates(monkeypatch: pytest.MonkeyPatch) -> list[anyio.Event]:
-    """Have each connection to a peer come up only when its gate is opened: as late as the test wants."""
-    held: list[anyio.Event] = []
-    connect = Channel._connect
-
-    async def late(channel: Channel) -> socket.socket:
-        held.append(anyio.Event())
-        await held[-1].wait()
-        return await connect(channel)
-
-    monkeypatch.setattr(Channel, "_connect", late)
-    return held
-
-
 # A client that has left
 
 
@@ -403,6 +395,15 @@
         assert len(here.cache.asked) == 1
 
 
+class Hand(Clock):
+    """A clock that a test moves on."""
+
+    at = 1000.0
+
+    def now(self) -> float:
+        return self.at
+
+
 class Owes:
     """Stands in for what drains: pulls are owed until the end is told."""
 
@@ -432,12 +433,6 @@
     """Guards against failing, at the longest cut-off + 350 ms, what came 600 ms after SIGTERM."""
     from cometseam.program import _drain
 
-    class Hand(Clock):
-        at = 1000.0
-
-        def now(self) -> float:
-            return self.at
-
     clock = Hand()
 
     async def sleep(seconds: float) -> None:
@@ -457,22 +452,6 @@
     """Guards against a reset of connections that the machine has accepted and the front has not."""
     from cometseam.program import _drain
 
-    class Hand(Clock):
-        at = 1000.0
-
-        def now(self) -> float:
-            return self.at
-
-    class Sheds(Takes):
-        owes = False
-
-        def take(self, client: Client, stream: int, order: Any) -> bool:
-            self.taken.append((client, stream))
-            return False  # its connection sheds it
-
-        def end_all(self) -> None:
-            pass
-
     clock, pulls = Hand(), Sheds()
 
     async def sleep(seconds: float) -> None:
@@ -613,6 +592,19 @@
         self.news.tell()
 
 
+class Sheds(Takes):
+    """The same at its end: it owes nothing, and takes nothing in."""
+
+    owes = False
+
+    def take(self, client: Client, stream: int, order: Any) -> bool:
+        super().take(client, stream, order)
+        return False  # its connection sheds it
+
+    def end_all(self) -> None:
+        """What is owed would be answered."""
+
+
 @asynccontextmanager
 async def clients(most: int = 8, memory: int = 1 << 22, greets_within: float = 60000.0) -> AsyncIterator[Any]:
     pulls, clock = Takes(), Clock()
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,372 @@
+"""What has waited too long when its turn comes, and places given up: the crossing forced each time.
+
+The front stands still (SIGSTOP, or a turn of the loop that lasts) while two things happen, so that both lie
+unread when it goes on; `docs/endings.md` names each row.
+"""
+
+import os
+import signal
+import socket
+import struct
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any, cast
+
+import anyio
+import pytest
+
+from cometseam import interface as i
+from cometseam.counters import COUNTERS
+from cometseam.logic import Front
+from cometseam.program import _drain
+from cometseam.routing.actor import LOOK_AFTER, Router
+from cometseam.transport.buffers import Pool
+from cometseam.transport.client import CROSSES, Client, Listener
+from cometseam.transport.peer import How
+from tests.drive import SETTINGS, Cache, Drive, World, frame, order, world
+from tests.test_actors import CONFIG, LISTING, Caller
+from tests.test_actors import order as ordered
+from tests.test_endings import BIG, Hand, Sheds, Takes, Whole, clients, one_peer, read_all, turns
+from tests.test_platform import COMMAND, TWO, children, sealed, served
+
+pytestmark = pytest.mark.anyio
+TAG = "4be0c1927d55a6f3"
+COPY = f"tag={TAG},minted=1,why=cached"
+CASES = 12
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+# A client that left while the front stood still
+
+
+def stands_still(pid: int) -> bool:
+    return Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0] == "T"
+
+
+def connect(address: tuple[str, int]) -> socket.socket:
+    sock = socket.create_connection(address)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # or what it sends last is held back
+    return sock
+
+
+def leave(sock: socket.socket, how: str) -> None:
+    if how == "withdraws":
+        sock.sendall(frame(18, 1))
+        return
+    if how == "resets":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+@pytest.mark.parametrize("how", ["ends", "resets", "withdraws"])
+@pytest.mark.parametrize("resting", [True, False], ids=["on a resting connection", "on a new one"])
+async def test_no_pull_is_sent_on_whose_client_left_while_the_front_stood_still(
+    how: str, resting: bool, tmp_path: Path
+) -> None:
+    """Guards the 0.3 s rule: the pull and its client's leaving lie unread together, behind each other."""
+    async with world(tmp_path) as here:
+        caller, cache = await here.call(), here.caches["cache-1"]
+        host, port = here.config["listen"].split(":")
+        front = (host, int(port))
+        await caller.send(order(1))  # from now on a connection to the cache is up: nothing waits for one
+        await (await cache.next()).answer("DONE", COPY, b"x")
+        assert (await caller.next()).body == b"x"
+        socks = [connect(front) for _ in range(CASES * resting)]
+        for sock in socks:
+            sock.sendall(frame(32, 0) if resting else b"")
+            assert sock.recv(64)  # it is taken in and answered
+        here.process.send_signal(signal.SIGSTOP)
+        while not stands_still(here.process.pid):
+            await anyio.sleep(0.001)
+        socks = socks or [connect(front) for _ in range(CASES)]
+        for at, sock in enumerate(socks):
+            sock.sendall(order(1, txn=f"{at + 100:016x}", item=f"{at + 100:016x}"))
+            leave(sock, how)
+        here.process.send_signal(signal.SIGCONT)
+        await caller.send(order(2, item="9" * 16))
+        asked = await cache.next()
+        await asked.answer("DONE", COPY, b"y")
+        got = await caller.next()
+        assert got.body == b"y", (got, asked.parts)
+        counts = await here.stop()
+        for sock in socks:
+            sock.close()
+    assert [asked.parts[1] for asked in cache.asked] == [f"{1:016x}", f"{2:016x}"]
+    if how != "resets":  # then the system may forget what was sent before
+        withdrawn = counts.get("pull.withdrawn", 0) + counts.get("pull.hung_up", 0)
+        assert withdrawn == CASES  # the crossing took place each time
+
+
+@pytest.mark.parametrize("left", [True, False], ids=["it has left", "it waits"])
+async def test_a_relay_that_waited_long_looks_whether_its_client_is_still_there(
+    left: bool, gates: list[anyio.Event], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The connection comes up in the very turn in which the client's end lies unread."""
+    stood = (LOOK_AFTER + 20.0) / 1000.0
+    async with one_peer(connect_within=5000.0) as here:
+        await here.start()
+        ready = socket.create_connection(here.address)
+        ready.setblocking(False)
+
+        async def late(channel: Any) -> socket.socket:
+            gates.append(anyio.Event())
+            await gates[-1].wait()
+            return ready
+
+        monkeypatch.setattr("cometseam.transport.peer.Channel._connect", late)
+        actor = Router(Front(1, CONFIG.settings), CONFIG.names, 100, here.around)
+        actor.change([replace(LISTING, lines=tuple(replace(x, address=here.address) for x in LISTING.lines))])
+        listener = Listener(("127.0.0.1", 0), 8, here.around.pool, here.around.clock, actor)
+        here.tasks.start_soon(actor.run)
+        here.tasks.start_soon(listener.run, here.tasks)
+        sock = socket.create_connection(listener._sock.getsockname())
+        sock.sendall(order(1))
+        while not gates:
+            await turns(1)
+        sent = COUNTERS.counts["relay.sent"]
+        if left:
+            sock.close()
+        time.sleep(stood)  # the loop stands still, and the end lies unread
+        gates[0].set()
+        if left:
+            while actor.owed:
+                await turns(1)
+            assert not here.cache.asked and not listener._sock.fileno() < 0
+            assert COUNTERS.counts["relay.sent"] == sent  # and no other relay was tried for it
+        else:
+            await (await here.cache.next()).answer("DONE", COPY, b"z")
+            got = b""
+            while b"z" not in got:
+                await anyio.wait_readable(sock)
+                got += sock.recv(4096)
+            sock.close()
+
+
+# A repeat is dropped only for so long
+
+
+def test_a_tagged_pulls_further_relay_may_not_wait_past_its_window() -> None:
+    tagged = replace(SETTINGS.workloads[1], group=i.Group.ALL)  # with a window of 1 s
+    drive = Drive(replace(SETTINGS, workloads=(SETTINGS.workloads[0], tagged, *SETTINGS.workloads[2:])))
+    drive.pull(1, workload=1)
+    assert drive.last[1].within == 0.0  # it has run nowhere
+    first = drive.last[1].cache
+    drive.end(1, i.Outcome.ERROR, i.Remark.NONE, after=300.0)
+    assert drive.last[1].cache != first or drive.relays[1] == 1
+    assert drive.last[1].within == 700.0
+    drive.pull(2, workload=0)  # repeatable: any time
+    drive.end(2, i.Outcome.ERROR, i.Remark.NONE, after=300.0)
+    assert drive.relays[2] == 1 and drive.last[2].within == 0.0
+
+
+@pytest.mark.parametrize("late", [True, False], ids=["past its window", "within it"])
+async def test_a_tagged_relay_that_waits_for_a_connection_past_its_window_is_not_written(
+    late: bool, gates: list[anyio.Event]
+) -> None:
+    """Guards the second rule: a repeat written then is no longer known as one, and runs a second time."""
+    window = 900.0
+    large = 300.0 * CONFIG.settings.pace  # KB: its own time-out is well past the window
+    workload = replace(CONFIG.settings.workloads[0], effect=i.Effect.TAGGED, window=window)
+    settings = replace(CONFIG.settings, workloads=(workload, *CONFIG.settings.workloads[1:]))
+    async with one_peer(connect_within=5000.0) as here:
+        await here.start()
+        other = Cache("d", here.news)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        here.tasks.start_soon(listener.serve, other.serve)
+        address = ("127.0.0.1", listener.extra(anyio.abc.SocketAttribute.local_port))
+        edge = next(line for line in LISTING.lines if line.name == "cache-1")
+        lines = (replace(edge, address=here.address), replace(edge, name="cache-2", address=address))
+        actor = Router(Front(1, settings), CONFIG.names, 100, here.around)
+        actor.change([replace(LISTING, lines=lines)])
+        here.tasks.start_soon(actor.run)
+        caller = Caller()
+        wanted = replace(ordered(workload=CONFIG.names.workloads[0], left=6000.0), size_kb=large)
+        assert actor.take(cast(Client, caller), 1, wanted)
+        while not gates:
+            await turns(1)
+        began = here.around.clock.now()
+        gates[0].set()
+        await here.news.until(lambda: here.cache.asked or other.asked)
+        first, second = (here.cache, other) if here.cache.asked else (other, here.cache)
+        await (await first.next()).answer("BROKE")
+        while len(gates) < 2:
+            await turns(1)
+        out = actor._open[1].out  # the second relay waits for its connection
+        assert out is not None and here.around.clock.now() < began + window < out.ask.due - 100.0
+        if late:
+            time.sleep((window + 10.0) / 1000.0)
+        gates[1].set()
+        if late:
+            assert await caller.until(1) in (["1 shed"], ["1 errored"])
+            await turns()
+            assert not second.asked
+        else:
+            await (await second.next()).answer("DONE", COPY, b"x")
+            assert await caller.until(1) == ["1 served"]
+
+
+async def test_a_relay_behind_one_that_the_cache_takes_no_bytes_of_is_taken_back_at_its_windows_end() -> None:
+    async with one_peer(connections=1) as here:
+        taker = socket.create_server(("127.0.0.1", 0))  # it accepts, by the system, and reads nothing
+        await here.start(address=taker.getsockname())
+        first = here.ask(1, body=BIG)
+        while first.outgoing is None or not first.outgoing.begun:
+            await turns(1)
+        second = here.ask(2, begin_by=30.0)
+        assert await here.ended() == [How.UNSENT] and here.ends[0].ask is second
+        here.peer._stop(first, How.GIVEN_UP)
+        taker.close()
+
+
+# A connection that gives its place
+
+
+async def test_a_connection_that_gives_its_place_is_not_reset_under_what_crosses_its_end() -> None:
+    """Guards against an answer destroyed by the reset of a pull that the client sends just then."""
+    async with clients(most=1) as (listener, pulls, call, _):
+        sock = await call(buffer=4096)
+        sock.send(order(1))
+        await pulls.news.until(lambda: pulls.taken)
+        client, stream = pulls.taken[0]
+        body = Whole(100_000)
+        client.served(stream, False, body)
+        got = b""
+        while not client.is_spare:
+            await anyio.wait_readable(sock)
+            got += sock.recv(4096)
+        had = COUNTERS.counts["client.gave_place"]
+        other = await call()
+        other.send(order(1))
+        await pulls.news.until(lambda: len(pulls.taken) == 2)  # it has a place, though none was free
+        assert COUNTERS.counts["client.gave_place"] == had + 1 and client not in listener.clients
+        sock.send(order(2))  # before the client sees the end
+        rest, clean = await read_all(sock)
+        assert clean and (got + rest).endswith(body.bytes) and len(pulls.taken) == 2
+        for each in (sock, other):
+            each.close()
+
+
+async def test_those_on_their_way_out_are_bounded_and_none_is_reset_while_what_it_sent_may_cross() -> None:
+    """A client that keeps its ended connection open holds a place no longer than its input may cross."""
+
+    async with anyio.create_task_group() as tasks:
+        clock, pulls = Hand(), Takes()
+        listener = Listener(("127.0.0.1", 0), 1, Pool(1 << 22), clock, pulls)
+        listener._tasks = tasks
+        socks = []
+        for _ in range(3):
+            socks.append(socket.create_connection(listener._sock.getsockname()))
+            socks[-1].sendall(frame(32, 0))
+        assert listener.accept() and len(listener.clients) == 1
+        await turns()
+        clock.at += 1.0
+        assert listener.accept()  # the first gives its place, and is on its way out
+        await turns()
+        assert len(listener.clients) == 1 and len(listener._leaving) == 1
+        clock.at += 1.0
+        assert listener.accept() is None  # what the first sends may still cross its end
+        clock.at += CROSSES
+        assert listener.accept()  # now its descriptor is wanted
+        assert len(listener.clients) + len(listener._leaving) <= listener._bound == 2
+        for sock in socks:
+            sock.close()
+        listener.end_all()
+
+
+async def test_what_waits_to_be_accepted_at_the_end_and_has_no_place_is_waited_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a drain that takes "no place" for "nothing waits", and resets what was accepted."""
+
+    clock, pulls = Hand(), Sheds()
+
+    async def sleep(seconds: float) -> None:
+        clock.at += 1000.0 * seconds
+        await turns()
+
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            listener = Listener(("127.0.0.1", 0), 1, Pool(1 << 22), clock, pulls, greets_within=900.0)
+            listener._tasks = tasks  # nothing accepts but the drain
+            first, second = (socket.create_connection(listener._sock.getsockname()) for _ in range(2))
+            second.sendall(order(1))
+            second.setblocking(False)
+            monkeypatch.setattr(anyio, "sleep", sleep)
+            assert listener.accept()  # new and silent: it keeps its place for 900 ms
+            tasks.start_soon(_drain, CONFIG, clock, cast(Router, pulls), listener)
+            got, clean = await read_all(second)
+            assert clean and got[4] == 17 and got[9] == 2 and len(pulls.taken) == 1  # an answer: shed
+            assert clock.at > 1000.0 + 900.0
+            for sock in (first, second):
+                sock.close()
+
+
+# An operator's file that is being read when the front ends
+
+
+def jsonnet(path: Path) -> Path:
+    path.write_text(TWO)
+    return path
+
+
+async def under_way_in_a_child(here: World, path: Path) -> None:
+    """Stop the child that reads the file: it reads for as long as the test wants."""
+    here.process.send_signal(signal.SIGHUP)
+
+    def runs(child: str) -> bool:  # before that its parent waits for it
+        return "cometseam.operator" in Path(f"/proc/{child}/cmdline").read_text()
+
+    while not (found := children(here.process.pid)) or not runs(found[0]):
+        await anyio.sleep(0.001)
+    os.kill(int(found[0]), signal.SIGSTOP)
+
+
+async def under_way_on_a_thread(here: World, path: Path) -> None:
+    """Put a FIFO in the file's place, and wait until it is opened: nobody ever writes to it."""
+    path.unlink()
+    os.mkfifo(path)
+    here.process.send_signal(signal.SIGHUP)
+    while True:
+        try:
+            os.open(path, os.O_WRONLY | os.O_NONBLOCK)  # kept open: the reading goes on
+            return
+        except OSError:
+            await anyio.sleep(0.001)
+
+
+@pytest.mark.parametrize(
+    ("make", "name", "command", "under_way"),
+    [
+        (sealed, "operator.json", COMMAND, under_way_on_a_thread),
+        (jsonnet, "operator.jsonnet", None, under_way_in_a_child),
+    ],
+    ids=["sealed, on a thread", "in a child"],
+)
+async def test_a_front_ends_while_its_operators_file_is_being_read(
+    make: Callable[[Path], Path], name: str, command: list[str] | None,
+    under_way: Callable[[World, Path], Awaitable[None]], tmp_path: Path,
+) -> None:  # fmt: skip
+    """The front answers what it owes, and its end waits for no file."""
+    path = make(tmp_path / name)
+    async with world(tmp_path, operator=path, command=command) as here:
+        await served(here, 1)
+        await under_way(here, path)
+        had = children(here.process.pid)
+        caller = await here.call()
+        await caller.send(order(2))
+        asked = await here.first()
+        here.process.send_signal(signal.SIGTERM)
+        await here.logged(b"drains")
+        await asked.answer("DONE", COPY, b"owed")
+        while (got := await caller.next()).type != 17:
+            pass
+        assert got.body == b"owed"
+        counts = await here.end()
+        assert not any(Path(f"/proc/{child}").exists() for child in had)
+    assert "operator.taken" not in counts and "operator.refused" not in counts
