A cache that leaves the list and comes back meets a front that kept to its part

When it came back the front went by its equal part, the rest of which was lent to others by the cache's name, until it was told anew (within a refresh, or never where its link is cut); a grant told meanwhile was passed over. Change: such a cache is remembered, with its part and relays, only while the fleet shares something out there (256 at most, the longest gone leaves); a grant reaches it there too. Without grants or caps nothing is kept and every decision is as before. Measured: 8 new cases in tests/test_fleet_decisions.py fail on the text before.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -19,6 +19,7 @@
 from cometseam.levels import Easing
 from cometseam.timing import Ledger, Part, goes_on, times, wait
 
+PARTED = 256  # caches that left the list and are remembered
 TRACKED, GAPS = 6000, 6  # objects' parts whose requests are remembered, and gaps for each of them
 GAP_FLOOR = 250.0  # ms; closer requests count as this far apart: a client's retries are no popularity
 VALUES, RECUT = 600, 50  # recent values that are cut in thirds, and values between two cuts
@@ -160,6 +161,9 @@
         self.actions: list[Action] = []
         self.held: dict[int, Held] = {}  # a pull leaves when it is answered and none of its relays is out
         self.servers: dict[int, Server] = {}  # as the list has them; what is gone or draining leaves
+        # Left the list while the fleet shares out what they bear; past PARTED the longest gone leaves, and so
+        # does one that comes back. Guards the fleet's bound: the rest of their part was lent, by their name.
+        self.parted: dict[int, Server] = {}
         self.edges: list[Server] = []  # the caches of this zone, the parents by nearness, the origin
         self.near: set[Server] = set()  # the same caches: a look-up costs the same however many there are
         self.parents: list[list[Server]] = [[], []]
@@ -202,8 +206,8 @@
                 # The fleet's word; an answer that this front got since the evidence began outweighs it.
                 if not event.bad or server.answered < now - event.age:
                     server.sick_until, server.strikes = now + event.rest, server.strikes or int(event.bad)
-            case Granted() if event.cache in self.servers:
-                server = self.servers[event.cache]
+            case Granted() if event.cache in self.servers or event.cache in self.parted:
+                server = self.servers.get(event.cache) or self.parted[event.cache]
                 (server.relays if event.relays else server.part).take(event.part, event.lasts, now)
             case Capped():
                 self.caps = (event.caches, event.parents)
@@ -229,8 +233,8 @@
             self.actions.append(Wake(0, 500.0 + 1000.0 * self.random.random()))
             return
         if event.kind is not ListKind.CHANGES:
-            listed = {entry.cache for entry in event.entries}
-            self.servers = {cache: server for cache, server in self.servers.items() if cache in listed}
+            for cache in self.servers.keys() - {entry.cache for entry in event.entries}:
+                self._part(self.servers.pop(cache))
         for entry in event.entries:
             self._listed(entry)
         s = self.settings
@@ -247,8 +251,9 @@
             self.fills, self.fetches = Limit(FILL_PART * pooled, self.lasts), Limit(4.0 * pooled, self.lasts)
 
     def _listed(self, entry: Listed) -> None:
-        known = self.servers.pop(entry.cache, None)
+        known = self.servers.pop(entry.cache, None) or self.parted.pop(entry.cache, None)
         if entry.lifecycle is not Lifecycle.READY:
+            self._part(known)
             return
         weight = entry.weight if self.settings.sized and entry.weight > 0 else 1.0
         if known and known.told.ready_at == entry.ready_at:
@@ -262,6 +267,12 @@
             fresh.spent, fresh.part, fresh.relays = known.spent, known.part, known.relays
         self.servers[entry.cache] = fresh
 
+    def _part(self, server: Server | None) -> None:
+        if server and (server.part.until or server.relays.until or any(self.caps)):
+            self.parted[server.told.cache] = server
+            if len(self.parted) > PARTED:
+                del self.parted[next(iter(self.parted))]
+
     def sharing(self, entry: Listed) -> int:
         """Tell how many fronts send to it."""
         s = self.settings
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -1,5 +1,6 @@
 """Bids, views, probing and verdicts by hand: the decisions of a front's part in the fleet, without I/O."""
 
+from dataclasses import replace
 from itertools import pairwise
 from random import Random
 
@@ -8,6 +9,7 @@
 from hypothesis import strategies as st
 
 from cometseam import interface as i
+from cometseam.logic import PARTED
 from cometseam.ownership import Bidder, Entry, Fence, Owner, State, Tail, Terms, Turn, View
 from cometseam.verdicts import Board, Prober, Probing
 from tests.drive import EDGES, Drive, line
@@ -387,3 +389,52 @@
     drive.tell(i.Members(i.ListKind.CHANGES, (line(12, ready_at=drive.now),)), after=600.0)
     server = drive.front.servers[12]
     assert server.started > 0 and (server.part.at(drive.now), server.relays.at(drive.now)) == (0.2, 0.3)
+
+
+def gone(cache: int) -> i.Listed:
+    return replace(line(cache), lifecycle=i.Lifecycle.GONE)
+
+
+@pytest.mark.parametrize("how", ["drains", "is gone", "is left out of a whole list"])
+@pytest.mark.parametrize("anew", [True, False], ids=["started anew", "as it was"])
+def test_a_cache_that_leaves_and_comes_back_leaves_the_front_at_its_part(how: str, anew: bool) -> None:
+    """Its part may be told, or end, while the cache is away: what was lent by its name stays lent."""
+    drive = Drive(caches=(12, 21, 31))
+    drive.tell(i.Granted(12, 0.2, 500.0))
+    drive.tell(i.Granted(12, 0.3, 500.0, relays=True))
+    away = {"drains": line(12, i.Lifecycle.DRAINING), "is gone": gone(12)}.get(how)
+    if away is not None:
+        drive.tell(i.Members(i.ListKind.CHANGES, (away,)))
+    else:
+        drive.tell(i.Members(i.ListKind.FULL, (line(21), line(31))))
+    assert 12 not in drive.front.servers
+    drive.tell(i.Granted(12, 0.1, 100.0))  # told meanwhile
+    drive.tell(i.Members(i.ListKind.CHANGES, (line(12, ready_at=drive.now if anew else 0.0),)), after=600.0)
+    server = drive.front.servers[12]
+    assert (server.part.at(drive.now), server.relays.at(drive.now)) == (0.1, 0.3) and not drive.front.parted
+
+
+def test_relays_still_out_at_a_cache_that_drained_and_came_back_count_for_the_fleets_cap() -> None:
+    drive = Drive(caches=(12, 21, 31))
+    drive.tell(i.Capped(4.0, 0.0))
+    drive.tell(i.Granted(12, 0.5, 60_000.0, relays=True))
+    for number in (1, 2):
+        drive.pull(number, wanted=number)
+    drive.tell(i.Members(i.ListKind.CHANGES, (line(12, i.Lifecycle.DRAINING),)))
+    drive.tell(i.Members(i.ListKind.CHANGES, (line(12),)))
+    drive.pull(3, wanted=3)
+    assert 3 not in drive.last  # two are out, of a part of two
+    drive.end(1)
+    drive.pull(4, wanted=4)
+    assert drive.last[4].cache == 12
+
+
+def test_the_table_of_caches_that_left_is_bounded_and_empty_where_nothing_is_shared() -> None:
+    drive = Drive()
+    drive.tell(i.Members(i.ListKind.FULL, (line(31),)))
+    assert not drive.front.parted
+    drive.tell(i.Capped(4.0, 4.0))
+    many = tuple(replace(line(11), cache=1000 + n) for n in range(PARTED + 20))
+    drive.tell(i.Members(i.ListKind.FULL, many))
+    drive.tell(i.Members(i.ListKind.FULL, (line(31),)))
+    assert len(drive.front.parted) == PARTED
