No relay to a connection whose end lies unread; no resting client ended under half a frame

Cause 1: a cache closes its idle connections, at times early; where its end comes in the turn in which a relay is sent, the relay was written whole to a connection that had ended, broke, and counted as one that may have run: a once-only pull failed that no cache had seen. Change: Peer.place looks at an idle connection's socket just before it takes a relay (one system call), and takes another. Cause 2: Client.is_overdue and may_go looked at unread input, not at a frame half read: a resting client whose next pull had begun to come lost it.

--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -77,13 +77,13 @@
 
     @property
     def is_spare(self) -> bool:
-        """Tell whether its end would cost nothing that has come so far."""
-        return self.is_idle and not self._connection.has_input()
+        """Tell whether its end would cost nothing that has come so far, in part or whole."""
+        return self.is_idle and not self._decoder.is_inside and not self._connection.has_input()
 
     @property
     def is_quiet(self) -> bool:
-        """Tell whether nothing has come on it, in part or whole, that is still to be answered."""
-        return self._ending or (self.is_spare and not self._decoder.is_inside)
+        """Tell whether nothing has come on it that is still to be answered."""
+        return self._ending or self.is_spare
 
     def may_go(self, greets_within: float) -> bool:
         """Tell whether it may give its place: the first pull of a new one may still be on its way."""
@@ -97,7 +97,10 @@
         """Tell whether it has held a place for too long with nothing that is open."""
         if self.is_idle and self._is_half():
             return True
-        return self.is_spare and self.used_at < self._clock.now() - (IDLE if self._spoke else FIRST_WORD)
+        if self._spoke:  # a frame that begins just then is waited for: `_is_half` bounds that
+            return self.is_spare and self.used_at < self._clock.now() - IDLE
+        silent = self.is_idle and not self._connection.has_input()
+        return silent and self.used_at < self._clock.now() - FIRST_WORD
 
     def _is_half(self) -> bool:
         """Tell whether a frame has been half read for too long, and not for want of room here."""
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -130,6 +130,10 @@
         usable = self.connection is not None and not self.connection.closed
         return usable and not self._doubted and not self._unwanted
 
+    def has_left(self) -> bool:
+        """Tell whether the other side has ended it, as far as that shows and is not read yet."""
+        return self.connection is not None and self.connection.has_left()
+
     def load(self, id: str) -> tuple[bool, int] | None:
         """Tell how busy it is; None: it can't take a relay of this id."""
         connection, out = self.connection, len(self.asks)
@@ -418,13 +422,12 @@
             if not ask.may_begin(now):
                 self.end(ask, How.UNSENT)
                 continue
-            best: Channel | None = None
-            least, coming = (True, links.streams), False
-            for channel in self._channels:
-                load = channel.load(ask.command.id)
-                if load is not None and load < least:
-                    best, least = channel, load
-                coming = coming or channel.connection is None
+            best, least, coming = self._choose(ask)
+            # Guards against a relay written whole to a connection whose end lies unread: it might have run.
+            while best is not None and not best.asks and best.has_left():
+                COUNTERS.add("peer.had_left")
+                best.close()
+                best, least, coming = self._choose(ask)
             if least >= (False, links.streams // 8) and not coming and len(self._channels) < share:
                 self._open()
             if best is not None:
@@ -432,6 +435,17 @@
             else:
                 self._waiting.append(ask)
 
+    def _choose(self, ask: Ask) -> tuple["Channel | None", tuple[bool, int], bool]:
+        """Return the least busy connection that can take a relay, how busy, and whether one comes up."""
+        best: Channel | None = None
+        least, coming = (True, self.around.links.streams), False
+        for channel in self._channels:
+            load = channel.load(ask.command.id)
+            if load is not None and load < least:
+                best, least = channel, load
+            coming = coming or channel.connection is None
+        return best, least, coming
+
     def _open(self) -> None:
         assert self._tasks is not None
         channel = Channel(self, self.around)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -25,7 +25,7 @@
 from cometseam.transport.buffers import Pool
 from cometseam.transport.client import CROSSES, Client, Listener
 from cometseam.transport.peer import How
-from tests.drive import SETTINGS, Cache, Drive, World, frame, order, world
+from tests.drive import SETTINGS, Cache, Drive, World, frame, order, resp, world
 from tests.test_actors import CONFIG, LISTING, Caller
 from tests.test_actors import order as ordered
 from tests.test_endings import BIG, Hand, Sheds, Takes, Whole, clients, one_peer, read_all, turns
@@ -307,6 +307,63 @@
                 sock.close()
 
 
+async def test_a_resting_connection_is_not_ended_under_a_frame_that_begins_just_then() -> None:
+    """Half a pull is read, and nothing is unread, when the look comes that would end it for its long rest."""
+    async with clients() as (_, pulls, call, _):
+        sock = await call()
+        sock.send(order(1))
+        await pulls.news.until(lambda: pulls.taken)
+        client, stream = pulls.taken[0]
+        client.shed(stream, 0.0)
+        sock.send(order(2)[:20])
+        while not client._decoder.is_inside:
+            await turns(1)
+        client.used_at -= 60_000.0  # it has rested for longer than it may
+        assert not client.is_overdue() and not client.may_go(0.0) and not client.is_quiet
+        sock.send(order(2)[20:])
+        await pulls.news.until(lambda: len(pulls.taken) == 2)
+        client.shed(2, 0.0)
+        client.used_at -= 60_000.0
+        assert client.is_overdue() and client.may_go(0.0) and client.is_quiet
+        sock.close()
+
+
+# A connection to a cache whose end lies unread
+
+
+@pytest.mark.parametrize("how", ["ends", "resets"])
+async def test_no_relay_is_written_to_a_connection_whose_end_lies_unread(how: str) -> None:
+    """The cache ends its idle connection in the turn in which the relay is written: it goes over another."""
+    async with one_peer() as here:
+        taker = socket.create_server(("127.0.0.1", 0))
+        taker.setblocking(False)
+        await here.start(address=taker.getsockname())
+
+        async def next_one() -> tuple[socket.socket, bytes]:
+            await anyio.wait_readable(taker)
+            sock = taker.accept()[0]
+            sock.setblocking(False)
+            await anyio.wait_readable(sock)
+            return sock, sock.recv(4096)
+
+        here.ask(1)
+        sock, got = await next_one()
+        assert f"{1:016x}".encode() in got
+        sock.send(resp(f"{1:016x}", "LACK", "-", b""))
+        assert await here.ended() == [How.ANSWERED]
+        had = COUNTERS.counts["peer.had_left"]
+        leave(sock, how)
+        time.sleep(0.01)  # the loop stands still, and the end lies unread
+        second = here.ask(2)
+        other, got = await next_one()
+        assert f"{2:016x}".encode() in got and second.again is False
+        assert COUNTERS.counts["peer.had_left"] == had + 1  # the crossing took place
+        other.send(resp(f"{2:016x}", "LACK", "-", b""))
+        assert await here.ended(2) == [How.ANSWERED, How.ANSWERED]
+        for each in (other, taker):
+            each.close()
+
+
 # An operator's file that is being read when the front ends
 
 
