--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -403,6 +403,11 @@
     def now(self) -> float:
         return self.at
 
+    async def sleep(self, seconds: float) -> None:
+        """Stand in for `anyio.sleep`: the time passes, and every other task has its turn."""
+        self.at += 1000.0 * seconds
+        await turns()
+
 
 class Owes:
     """Stands in for what drains: pulls are owed until the end is told."""
@@ -454,10 +459,6 @@
 
     clock, pulls = Hand(), Sheds()
 
-    async def sleep(seconds: float) -> None:
-        clock.at += 1000.0 * seconds
-        await turns()
-
     with anyio.fail_after(10):
         async with anyio.create_task_group() as tasks:
             listener = Listener(("127.0.0.1", 0), 8, Pool(1 << 22), clock, pulls)
@@ -466,7 +467,7 @@
             sock.sendall(order(1))
             sock.setblocking(False)
             assert not listener.clients
-            monkeypatch.setattr(anyio, "sleep", sleep)
+            monkeypatch.setattr(anyio, "sleep", clock.sleep)
             tasks.start_soon(_drain, CONFIG, clock, cast(Router, pulls), listener)
             got, clean = await read_all(sock)
             assert clean and got[4] == 17 and got[9] == 2 and len(pulls.taken) == 1  # an answer: shed
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -311,10 +311,6 @@
 
     clock, pulls = Hand(), Sheds()
 
-    async def sleep(seconds: float) -> None:
-        clock.at += 1000.0 * seconds
-        await turns()
-
     with anyio.fail_after(10):
         async with anyio.create_task_group() as tasks:
             listener = Listener(("127.0.0.1", 0), 1, Pool(1 << 22), clock, pulls, greets_within=900.0)
@@ -322,7 +318,7 @@
             first, second = (socket.create_connection(listener._sock.getsockname()) for _ in range(2))
             second.sendall(order(1))
             second.setblocking(False)
-            monkeypatch.setattr(anyio, "sleep", sleep)
+            monkeypatch.setattr(anyio, "sleep", clock.sleep)
             assert await accepted(listener)  # new and silent: it keeps its place for 900 ms
             tasks.start_soon(_drain, CONFIG, clock, cast(Router, pulls), listener)
             got, clean = await read_all(second)
