Log what tells the causes of a late drain apart: polls, states, ends of connections

Change: changelog.failed tells the phase, how long the poll had lasted and after which event; changelog.applied names the endpoints whose state changed; peer.connection_ended and client.ended tell why and with how much unanswered; attempt.after_drain names each request that is written to an endpoint which drains or is gone, or that names one as its source. tests/standins/discovery.py writes down when an answer had been written whole. Decisions are unchanged; retries and refusals are told by COMETSEAM_TRACE, as before.

--- a/cometseam/events.py
+++ b/cometseam/events.py
@@ -29,10 +29,26 @@
 
 EVENTS: dict[str, Known] = {
     "actor.failed": Known("ERROR", "a {kind} failed", {"kind": str}),
-    "changelog.failed": Known("WARNING", "the change log: {kind}: {why}", {"kind": str, "why": str}, True),
+    "attempt.after_drain": Known(
+        "ERROR",
+        "request {request} is written to {endpoint} (source {source}), {after:.0f} ms after its drain",
+        {"request": str, "endpoint": str, "source": str, "after": float}, True,
+    ),
+    "changelog.applied": Known(
+        "INFO", "the change log: event {seq}: {endpoints}; asked for {waited:.0f} ms before",
+        {"seq": int, "endpoints": str, "waited": float},
+    ),
+    "changelog.failed": Known(
+        "WARNING", "the change log: {kind}: {why} ({phase}, {waited:.0f} ms, events after {since})",
+        {"kind": str, "why": str, "phase": str, "waited": float, "since": int}, True,
+    ),
     "changelog.passed_over": Known(
         "ERROR", "the change log: event {seq} is passed over: {why}", {"seq": int, "why": str}
     ),
+    "client.ended": Known(
+        "INFO", "a client's connection ended ({why}) with {pending} requests unanswered",
+        {"why": str, "pending": int}, True,
+    ),
     "client.failed": Known("ERROR", "a client's connection failed", {}),
     "client.not_accepted": Known("WARNING", "a connection was not accepted: {why}", {"why": str}, True),
     "client.unusable": Known("WARNING", "a client sent what can't be used: {why}", {"why": str}, True),
@@ -82,6 +98,10 @@
         "INFO", "pull {id} ({workload}) {kind} after {took} ms, {late} of {quoted}: {steps}",
         {"id": str, "workload": str, "kind": str, "took": float, "quoted": float, "late": str, "steps": str},
     ),
+    "peer.connection_ended": Known(
+        "INFO", "{peer}: a connection ended ({why}) with {unanswered} attempts unanswered",
+        {"peer": str, "why": str, "unanswered": int}, True,
+    ),
     "peer.connection_failed": Known("ERROR", "{peer}: a connection failed", {"peer": str}),
     "peer.counters": Known("INFO", "peer ({why}): {peer} {ends}", {"why": str, "peer": str, "ends": dict}),
     "peer.message_failed": Known("ERROR", "{peer}: a message failed", {"peer": str}),
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -36,6 +36,7 @@
 # ms after which a pull's client is looked at itself before anything is sent for the pull: nothing is sent on
 # later than 300 ms after its client has left, and what tells of that may lie unread while the front is late.
 LOOK_AFTER = 200.0
+REMEMBERED = 256  # endpoints that drain or are gone, with the time of that, for the log
 
 
 @dataclass(slots=True, eq=False)
@@ -136,6 +137,7 @@
         self._tasks: TaskGroup | None = None
         self._table: Table | None = None  # of the operator's routes; pulls that are open keep their plan
         self._listed = False
+        self._told_at: dict[int, float] = {}  # by cache that drains or is gone: when that was taken in
         self.draining = self._closing = False
         self._tracer = tracer if tracer is not None and tracer.mode is not Mode.OFF else None
         self._quoted = [each.quoted for each in front.settings.workloads] if self._tracer is not None else []
@@ -358,6 +360,10 @@
             now = self._roster.starts()
             changed = {cache for cache in had if now.get(cache) != had[cache]}
             self._around.peers = len(self._roster)
+            self._told_at = {cache: at for cache, at in self._told_at.items() if cache not in now}
+            self._told_at.update(dict.fromkeys(had.keys() - now.keys(), self._around.clock.now()))
+            while len(self._told_at) > REMEMBERED:
+                del self._told_at[next(iter(self._told_at))]
             for cache, peer in list(self._peers.items()):
                 line = self._roster.get(cache)
                 if line is None or line.address != peer.address:
@@ -442,6 +448,7 @@
         command = translate.command(relay, pull.order, source.name if source is not None else "")
         ask = Ask(pull.number, pull.relays, command, pull.order.body(), now, due)
         ask.awaited = lambda: self._awaits(pull.client, pull.stream, pull.taken_at)
+        ask.begins = lambda: self._audit(relay, pull.order.id)
         if relay.within:
             ask.begin_by = now + relay.within
         peer = self._peer(relay.cache)
@@ -456,6 +463,20 @@
             COUNTERS.add("relay.no_room")
             self._report(End(ask, How.UNSENT))
 
+    def _audit(self, relay: i.Relay, request: str) -> None:
+        """Log a request written to an endpoint that drains or is gone, or that names one as its source."""
+        late = [cache for cache in (relay.cache, relay.source) if not self._roster.ready(cache)]
+        if late:
+            COUNTERS.add("attempt.after_drain")
+            now = self._around.clock.now()
+            after = max(now - self._told_at.get(cache, now) for cache in late)
+            say("attempt.after_drain", request=request, endpoint=self._named(relay.cache),
+                source=self._named(relay.source), after=after)  # fmt: skip
+
+    def _named(self, cache: int) -> str:
+        line = self._roster.get(cache)
+        return line.name if line is not None else f"{cache:016x}"
+
     def _peer(self, cache: int) -> Peer | None:
         peer, line = self._peers.get(cache), self._roster.get(cache)
         if peer is None and line is not None:
--- a/cometseam/routing/translate.py
+++ b/cometseam/routing/translate.py
@@ -30,6 +30,11 @@
         """Return a cache's line."""
         return self._lines.get(cache)
 
+    def ready(self, cache: int) -> bool:
+        """Tell whether the list has a cache as ready."""
+        line = self._lines.get(cache)
+        return line is not None and line.lifecycle is i.Lifecycle.READY
+
     def starts(self) -> dict[int, tuple[tuple[str, int], float]]:
         """Return the address and the last start of each cache that is ready, by number."""
         ready = i.Lifecycle.READY
--- a/cometseam/transport/changelog.py
+++ b/cometseam/transport/changelog.py
@@ -9,13 +9,14 @@
 from cometseam.counters import COUNTERS
 from cometseam.events import say
 from cometseam.protocol import Malformed
-from cometseam.protocol.changelog import MOST, Change, Unusable, path, read_text
+from cometseam.protocol.changelog import MOST, Change, Listing, Unusable, path, read_text
 from cometseam.settings import Names
 
 # ms a poll may take where nothing is to be told, and past that; what was told counts 7 s later at the latest:
 # three connections in a row may fall silent, the two that replace the first as well, and it is still heard.
 POLL, PATIENCE = 1500, 500
 CONNECT = 1000  # ms for a connection to come up
+NAMED = 8  # endpoints of one event that are logged by name
 REST = 50.0  # ms between two looks at whether another front still reads the log for this one
 FIRST_WAIT, LONGEST_WAIT = 20.0, 500.0  # ms between two tries that fail
 
@@ -30,6 +31,7 @@
         self._doubted = (0, 0)  # the event that was due, and the one that came and could not be taken
         self._wait = FIRST_WAIT
         self._link = anyio.CancelScope()  # what is under way with this address
+        self._phase, self._since = "connecting", 0.0  # of the poll that is under way, and when that began
         # Where one front reads the log for all (`coordination.party`): whether this one rests, and who is
         # told of each poll that was answered, with its text.
         self.rests: Callable[[], bool] = lambda: False
@@ -57,17 +59,21 @@
                     await self._poll()
                 except Exception as error:  # whatever it is, the list held stays and the poll starts again
                     COUNTERS.add("changelog.failed")
-                    say("changelog.failed", kind=type(error).__name__, why=str(error))
+                    waited = 1000.0 * (anyio.current_time() - self._since)
+                    say("changelog.failed", kind=type(error).__name__, why=str(error), phase=self._phase,
+                        waited=waited, since=self._last)  # fmt: skip
                 await anyio.sleep(self._wait / 1000.0)
                 self._wait = min(2.0 * self._wait, LONGEST_WAIT)
 
     async def _poll(self) -> None:
         """Poll over one connection until it ends."""
+        self._phase, self._since = "connecting", anyio.current_time()
         with anyio.fail_after(CONNECT / 1000.0):
             stream = await anyio.connect_tcp(*self._address)
         async with stream:
             http = h11.Connection(h11.CLIENT, max_incomplete_event_size=65536)
             while True:
+                self._phase, self._since = "asked", anyio.current_time()
                 with anyio.fail_after((POLL + PATIENCE) / 1000.0):
                     text = await self._ask(http, stream)
                 changes = read_text(text, self._names)
@@ -116,6 +122,16 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise Malformed("the connection ended inside an answer")
 
+    def _say_applied(self, change: Change) -> None:
+        """Log a change of the list of endpoints: who is in which state from now on."""
+        if not isinstance(change, Listing):
+            return
+        states = [f"{line.name} {line.lifecycle.name.lower()}" for line in change.lines[:NAMED]]
+        more = len(change.lines) - len(states)
+        endpoints = ", ".join(states) + (f" and {more} more" if more else "")
+        waited = 1000.0 * (anyio.current_time() - self._since)
+        say("changelog.applied", seq=change.seq, endpoints=endpoints, waited=waited)
+
     def _take(self, changes: list[Change]) -> None:
         new: list[Change] = []
         try:
@@ -135,6 +151,7 @@
                     say("changelog.passed_over", seq=change.seq, why=why)
                 else:
                     new.append(change)
+                    self._say_applied(change)
         finally:
             if new:
                 COUNTERS.add("changelog.events", len(new))
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -69,6 +69,7 @@
         self._ending = False  # sent what can't be used: it ends when nothing is open on it any more
         self._passed_over = 0  # bytes that came after that
         self._came_at = clock.now()
+        self._ended_by = "the client"  # or why this program ended the connection
 
     @property
     def is_idle(self) -> bool:
@@ -122,6 +123,8 @@
         finally:
             self._decoder.close()
             self._withdraw()
+            if self._ended_by != "the client":
+                say("client.ended", why=self._ended_by, pending=0)
 
     def look(self) -> None:
         """Look whether the client has left, also where that is still unread; its pulls are withdrawn then."""
@@ -129,6 +132,8 @@
             self._withdraw()
 
     def _withdraw(self) -> None:
+        if self._open:
+            say("client.ended", why=self._ended_by, pending=len(self._open))
         for stream in sorted(self._open):
             self._pulls.hang_up(self, stream)
         self._open.clear()
@@ -141,12 +146,14 @@
         """Say that no new pull should come on this connection."""
         self._connection.send([write_frame(Type.NO_MORE, 0)])
 
-    def close(self) -> None:
+    def close(self, why: str) -> None:
         """End the connection at once: what is on its way out is lost."""
+        self._ended_by = why
         self._connection.close()
 
-    def end(self) -> None:
+    def end(self, why: str) -> None:
         """End the connection, and take no more from it; what has been written reaches the client."""
+        self._ended_by = why
         self._ending = True
         self._connection.end()
 
@@ -224,7 +231,7 @@
         """
         COUNTERS.add("client.bad_input")
         say("client.unusable", why=why)
-        self._ending = True
+        self._ending, self._ended_by = True, "unusable input"
         self._open.discard(stream)
         self._connection.send([write_errored(stream, why)], lambda _: self._end_if_done())
 
@@ -314,7 +321,7 @@
             if ended_first is None or self._clock.now() - at < CROSSES:
                 return None
             del self._leaving[ended_first]
-            ended_first.close()
+            ended_first.close("its place is wanted")
         try:
             sock, (address, *_) = self._sock.accept()
             client = Client(sock, self._pool, self._clock, self._pulls, address)
@@ -327,7 +334,7 @@
         COUNTERS.add("client.accepted")
         if idlest is not None:
             COUNTERS.add("client.gave_place")
-            self._end(idlest)
+            self._end(idlest, "gave its place")
         self.clients.add(client)
         COUNTERS.see("client.connections", len(self.clients))
         self._tasks.start_soon(self._serve, client)
@@ -343,11 +350,11 @@
         by_age = sorted(self.clients, key=lambda client: client.used_at)
         return next((client for client in by_age if client.may_go(self._greets_within)), None)
 
-    def _end(self, client: Client) -> None:
+    def _end(self, client: Client, why: str) -> None:
         """End a connection; its descriptor is free when its client has seen that."""
         self.clients.discard(client)
         self._leaving[client] = self._clock.now()
-        client.end()
+        client.end(why)
 
     @property
     def is_empty(self) -> bool:
@@ -359,7 +366,7 @@
         anyio.notify_closing(self._sock)
         self._sock.close()
         for client in [*self.clients, *self._leaving]:
-            client.end()
+            client.end("the front ends")
 
     async def _serve(self, client: Client) -> None:
         try:
@@ -380,14 +387,14 @@
                 client.end_half_frame()
                 if client.is_overdue():
                     COUNTERS.add("client.overdue")
-                    self._end(client)
+                    self._end(client, "overdue")
 
     def make_room(self, longest: float) -> None:
         """End the connections that have kept buffers busy for so long: others wait for these."""
         for client in list(self.clients):
             if client.is_stalled(longest):
                 COUNTERS.add("client.stalled")
-                client.close()  # its buffers are wanted at once, and it takes nothing
+                client.close("stalled")  # its buffers are wanted at once, and it takes nothing
                 self.clients.discard(client)
 
     def drain(self) -> None:
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -68,6 +68,7 @@
     # Looked at just before its first byte is written: whether its client still waits; until when it may be.
     awaited: Callable[[], bool] = field(default=lambda: True)
     begin_by: float = float("inf")
+    begins: Callable[[], None] = field(default=lambda: None)  # told just before its first byte is written
 
     def may_begin(self, now: float) -> bool:
         """Tell whether it may be written: for a client that still waits, while a repeat of it is dropped."""
@@ -123,6 +124,7 @@
         self._doubted_at = 0.0
         self._inside_since = 0.0  # when the answer that is half read began; 0: there is none
         self._unwanted = False  # nobody waits for that answer: nothing new is sent behind it
+        self.ended_here = False  # by this program, which has logged why
         self._decoder = Decoder(around.pool.room)
 
     def is_usable(self) -> bool:
@@ -162,6 +164,9 @@
             COUNTERS.add("peer.exception")
             say("peer.connection_failed", error, peer=self._peer.name)
         finally:
+            if not self.ended_here:
+                unanswered = len(self.asks)
+                say("peer.connection_ended", peer=self._peer.name, why="by the peer", unanswered=unanswered)
             self._decoder.close()
             if self._watch is not None:
                 self._watch.cancel()
@@ -221,7 +226,7 @@
         if unusable:
             COUNTERS.add("peer.bad_input")
             say("peer.unusable", peer=self._peer.name, why=unusable)
-            self.close()
+            self.close("unusable input")
         self._peer.place()
         return taken
 
@@ -245,12 +250,12 @@
         if self._inside_since and now - self._inside_since > self._around.links.longest_cut_off:
             # Guards against an answer that dribbles for ever: to the look above it is never silent.
             COUNTERS.add("peer.never_ends")
-            self.close()
+            self.close("an answer that does not end")
         elif due > now or self.connection.has_input():  # what is to be read is no silence
             self._watch = self._around.timers.at(max(due, now + silence), self._look)
         elif self._decoder.is_inside:
             COUNTERS.add("peer.stopped_short")
-            self.close()
+            self.close("an answer that stopped short")
         else:
             self._doubt()
 
@@ -273,6 +278,7 @@
         def written(whole: bool) -> None:
             ask.written_at = self._around.clock.now() if whole else 0.0
 
+        ask.begins()
         ask.outgoing = self.connection.send(parts, written)
 
     def take_back(self, ask: Ask) -> bool:
@@ -295,7 +301,8 @@
             self._remember(id, given_up=True)
             self.connection.send([write_stop(id)])
         if self.connection.is_stuck:
-            self.close()  # a peer that takes no more bytes would hear of it too late; its end tells at once
+            # A peer that takes no more bytes would hear of it too late; its end tells at once.
+            self.close("an attempt given up behind unwritten bytes")
         elif ask.written_at > self._heard_at:
             self._doubt()
 
@@ -321,7 +328,7 @@
                 self._around.timers.at(now + REPLY * links.connect_within, self._end_doubt)
             else:
                 COUNTERS.add("peer.silent")
-                self.close()
+                self.close("silent")
         elif self.asks and self._watch is None:
             self._look()
 
@@ -334,13 +341,15 @@
         def look() -> None:
             if self._unwanted and self._inside_since == began:
                 COUNTERS.add("peer.never_ends")
-                self.close()
+                self.close("an unwanted answer that does not end")
 
         self._around.timers.at(now + rest, look)
 
-    def close(self) -> None:
+    def close(self, why: str) -> None:
         """End the connection, and with it all that is out on it."""
-        if self.connection is not None:
+        if self.connection is not None and not self.connection.closed:
+            self.ended_here = True
+            say("peer.connection_ended", peer=self._peer.name, why=why, unanswered=len(self.asks))
             self.connection.close()
 
 
@@ -415,7 +424,7 @@
         fresh = now - (links.idle - links.connect_within)
         for channel in self._channels[:]:
             if not channel.asks and channel.connection and channel.used_at < fresh:
-                channel.close()
+                channel.close("idle")
         waiting, self._waiting, share = self._waiting, [], self.around.share
         for ask in waiting:
             # Every relay passes here just before it is written, however long it has waited for a connection.
@@ -426,7 +435,7 @@
             # Guards against a relay written whole to a connection whose end lies unread: it might have run.
             while best is not None and not best.asks and best.has_left():
                 COUNTERS.add("peer.had_left")
-                best.close()
+                best.close("its end lies unread")
                 best, least, coming = self._choose(ask)
             if least >= (False, links.streams // 8) and not coming and len(self._channels) < share:
                 self._open()
@@ -493,5 +502,7 @@
 
     def stop(self) -> None:
         """End the actor and its connections."""
+        for channel in self._channels:
+            channel.close("the endpoint has gone")
         if self._tasks is not None:
             self._tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/standins/discovery.py
@@ -0,0 +1,89 @@
+"""A stand-in for discovery: a long poll over HTTP/1.1 that is slow, silent, late or ends as a test says.
+
+It writes down when each answer had been written whole, so that a test can tell when a front was notified.
+"""
+
+import json
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import SocketStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from tests.drive import ENDS, News
+
+
+@dataclass
+class Poll:
+    """One request of a front: over which connection, from which event on, and when (monotonic seconds)."""
+
+    connection: int
+    since: int
+    asked_at: float
+    hold: float  # s that the front lets it wait for events
+    answered_at: float = 0.0  # 0: not written whole
+    told: int = 0  # the last event in its answer
+
+
+@dataclass
+class Discovery:
+    """The change log as one front sees it; events are numbered from 2, after the list of the start."""
+
+    news: News = field(default_factory=News)
+    events: list[dict[str, Any]] = field(default_factory=list)
+    polls: list[Poll] = field(default_factory=list)
+    delay: float = 0.0  # s from when an answer is due to when it is written
+    silent: set[int] = field(default_factory=set)  # connections (by number, from 1) that are never answered
+    ends: set[int] = field(default_factory=set)  # connections that end instead of an answer
+    connections: int = 0
+
+    def tell(self, **event: Any) -> int:
+        """Add an event and return its number."""
+        self.events.append({"seq": len(self.events) + 2, **event})
+        self.news.tell()
+        return len(self.events) + 1
+
+    def drain(self, line: dict[str, Any]) -> int:
+        """Tell that an endpoint drains, and return the event's number."""
+        changed = {"index": len(self.events) + 2, "snapshot": False, "endpoints": [line | {"status": "leaving"}]}
+        return self.tell(fleet=changed)
+
+    def notified_at(self, event: int) -> float | None:
+        """Return when the first answer that holds an event had been written whole (monotonic seconds)."""
+        times = [poll.answered_at for poll in self.polls if poll.since < event <= poll.told]
+        return min(times, default=None)
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Answer polls over one connection until it ends."""
+        self.connections += 1
+        number = self.connections
+        reader = BufferedByteReceiveStream(stream)
+        try:
+            while True:
+                head = (await reader.receive_until(b"\r\n\r\n", 4096)).decode()
+                since = int(head.split("since=")[1].split("&")[0])
+                hold = int(head.split("timeout=")[1].split()[0]) / 1000.0
+                poll = Poll(number, since, time.monotonic(), hold)
+                self.polls.append(poll)
+                self.news.tell()
+                if number in self.ends:
+                    await stream.aclose()
+                    return
+                if number in self.silent:
+                    await anyio.sleep_forever()
+                await self._answer(stream, poll)
+        except ENDS:
+            await stream.aclose()
+
+    async def _answer(self, stream: SocketStream, poll: Poll) -> None:
+        with anyio.move_on_after(poll.hold):
+            await self.news.until(lambda: len(self.events) + 1 > poll.since)
+        last = len(self.events) + 1
+        new = [event for event in self.events if event["seq"] > poll.since]
+        await anyio.sleep(self.delay)
+        text = json.dumps({"seq": last, "results": new}).encode()
+        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text))
+        poll.answered_at, poll.told = time.monotonic(), last
+        self.news.tell()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -734,7 +734,7 @@
         while not client.is_spare:
             await anyio.wait_readable(sock)
             got += sock.recv(4096)
-        listener._end(client)
+        listener._end(client, "overdue")
         sock.send(order(2))  # after the look, before the client sees the end
         rest, clean = await read_all(sock)
         assert clean and (got + rest).endswith(body.bytes) and len(pulls.taken) == 1
