A late poll of discovery is read on, and what discovery told is read before a request goes out

Cause: ChangeLog._poll closed a connection 2.0 s after its poll began, with the answer unread on it or on its way (cometseam/transport/ changelog.py, `fail_after` round `_ask`). The front had been notified and did not know; it sent on until a later poll was answered. Where it had stood still, its timer ran before its sockets. Ruled out by reading and by forced crossings: a decision for a draining endpoint (Front._send), requests that wait in mailboxes or for connections (test_endings). Class: a time-out that throws away what has already happened, and acts on what was known before.

Change: cometseam/discovery takes the place of the link. schedule.py decides, without I/O: a poll that is late is not given up, another begins beside it (four at most), until 5 s past its hold; sequence.py takes each event once and in order; client.py reads whatever lies unread before it closes a connection, at SIGHUP too, and at any moment (read_now). The router does that before each message and just before a request is written; events act in the turn that reads them. A request queued on a full socket is asked for once more when its turn comes (new test). Of an event that cannot be read, the lines that can be are taken, drains at once.

--- a/cometseam/coordination/party.py
+++ b/cometseam/coordination/party.py
@@ -20,11 +20,11 @@
 from cometseam.coordination.follow import Follower
 from cometseam.coordination.sharing import Granted, Sharer, Wishes
 from cometseam.counters import COUNTERS
+from cometseam.discovery import DiscoveryClient
 from cometseam.events import say
 from cometseam.limits import Sharing
 from cometseam.operator.fleet import FleetTerms
 from cometseam.ownership import State, Tail, Told, Turn
-from cometseam.transport.changelog import ChangeLog
 from cometseam.transport.probe import probe
 from cometseam.verdicts import Board, Heard, Prober, Ruling
 
@@ -68,7 +68,7 @@
 
     def __init__(
         self, terms: FleetTerms, name: str, clock: Clock, addresses: Callable[[], dict[str, tuple[str, int]]],
-        judged: Judged, log: ChangeLog | None = None, shares: Shares | None = None,
+        judged: Judged, log: DiscoveryClient | None = None, shares: Shares | None = None,
     ) -> None:  # fmt: skip
         self.terms, self.clock, self.addresses, self.judged = terms, clock, addresses, judged
         longest = max(terms.tasks.values(), key=lambda each: each.round_trip_ms)
@@ -168,7 +168,7 @@
         results = json.loads(text)["results"]
         self.tail.add([(event["seq"], len(json.dumps(event)), event) for event in results])
 
-    async def _say_log(self, log: ChangeLog) -> None:
+    async def _say_log(self, log: DiscoveryClient) -> None:
         """Say after each poll of the reader's how far it has come."""
         while True:
             await anyio.sleep(LOOK)
--- /dev/null
+++ b/cometseam/discovery/client.py
@@ -0,0 +1,256 @@
+"""The client of discovery: polls over as many connections as `schedule` says, and hands on what they tell."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import h11
+from anyio.abc import TaskGroup
+
+from cometseam.counters import COUNTERS
+from cometseam.discovery.connection import DiscoveryConnection
+from cometseam.discovery.schedule import PollSchedule, PollTerms
+from cometseam.discovery.sequence import EventSequence
+from cometseam.events import say
+from cometseam.protocol import Malformed
+from cometseam.protocol.changelog import Change, Listing, path, read_text
+from cometseam.settings import Names
+
+NAMED = 8  # endpoints of one event that are logged by name
+REST = 50.0  # ms between two looks at whether another front still reads discovery for this one
+READ_EVERY = 10.0  # ms between two reads that `read_now` makes
+FAULTS = (OSError, Malformed, h11.RemoteProtocolError, h11.LocalProtocolError)
+
+
+@dataclass(slots=True, eq=False)
+class Poll:
+    """One connection and what is logged of its poll; times in ms of the monotonic clock."""
+
+    number: int
+    connection: DiscoveryConnection
+    scope: anyio.CancelScope
+    began_at: float
+    phase: str = "connecting"
+    was_empty: bool = False  # the last answer told nothing
+
+
+def monotonic() -> float:
+    """Return milliseconds of the monotonic clock."""
+    return time.monotonic() * 1000.0
+
+
+class DiscoveryClient:
+    """Follows discovery for one front; each event is handed on once, in order, in the turn that reads it."""
+
+    def __init__(
+        self, address: tuple[str, int], last: int, names: Names, hand_on: Callable[[list[Change]], None],
+        terms: PollTerms | None = None, clock: Callable[[], float] = monotonic,
+    ) -> None:  # fmt: skip
+        """Begin after event `last`.
+
+        Args:
+            address: host and port of discovery.
+            last: number of the last event that the front knows.
+            names: names of zones and kinds, by which lines are read.
+            hand_on: takes events; it must not wait.
+            terms: spans and bounds; the defaults where there are none.
+            clock: monotonic milliseconds.
+        """
+        self._address, self._names, self._hand_on, self._clock = address, names, hand_on, clock
+        self._sequence = EventSequence(last)
+        self._schedule = PollSchedule(terms or PollTerms())
+        self._polls: dict[int, Poll] = {}
+        self._begun = 0
+        self._changed = anyio.Event()  # something ended, was answered or moved: the schedule is looked at
+        self._tasks: TaskGroup | None = None
+        self._read_at = float("-inf")
+        # Where one front reads discovery for all (`coordination.party`): whether this one rests, and who is
+        # told of each poll that was answered, with its text.
+        self.rests: Callable[[], bool] = lambda: False
+        self.polled: Callable[[bytes], None] = lambda text: None
+
+    @property
+    def last(self) -> int:
+        """Return the number of the last event taken in."""
+        return self._sequence.last
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Poll at another address from now on. Polls outstanding at the old one are still read."""
+        if address == self._address:
+            return
+        self._address = address
+        for number in self._schedule.moved(self._clock()):
+            self._give_up(number, "discovery has another address")
+        self._changed.set()
+
+    def read_now(self) -> None:
+        """Take in all that has come and lies unread, without waiting.
+
+        Called before a request is sent on: after a stand-still of the process the loop may come to requests
+        before it comes to the answer of a poll that came before them.
+        """
+        now = self._clock()
+        if now - self._read_at < READ_EVERY:
+            return
+        self._read_at = now
+        for poll in list(self._polls.values()):
+            self._read(poll)
+
+    def hear(self, text: bytes) -> bool:
+        """Take in events that another front has read; return whether they go on from where this one is."""
+        try:
+            accepted = self._accept(read_text(text, self._names), None)
+        except Malformed:
+            accepted = "unreadable"
+        if accepted:
+            # Discovery itself was not asked yet: it may still tell what is missing.
+            self._sequence.forget_doubt()
+        return not accepted
+
+    async def run(self) -> None:
+        """Poll until cancelled; all connections end then."""
+        try:
+            async with anyio.create_task_group() as self._tasks:
+                while True:
+                    self._changed = anyio.Event()
+                    with anyio.move_on_after(self._check() / 1000.0):
+                        await self._changed.wait()
+        finally:
+            for poll in self._polls.values():
+                poll.connection.close()
+
+    def _check(self) -> float:
+        """Do what the schedule says; return after how many ms it is to be asked again."""
+        now = self._clock()
+        check = self._schedule.check(now)
+        for number in check.lost:
+            self._give_up(number, "no answer")
+        if check.begin and self.rests():
+            return REST
+        if check.begin:
+            self._begin(now)
+            check = self._schedule.check(now)
+        return max(check.look_at - now, 1.0)
+
+    def _begin(self, now: float) -> None:
+        assert self._tasks is not None
+        if len(self._schedule):
+            COUNTERS.add("changelog.overdue")
+        self._begun += 1
+        self._schedule.begun(self._begun, now)
+        try:
+            connection = DiscoveryConnection(self._address)
+        except OSError as error:  # no descriptor: another try follows
+            self._schedule.failed(self._begun, now)
+            self._say_failed(error, "connecting", 0.0)
+            return
+        poll = Poll(self._begun, connection, anyio.CancelScope(), now)
+        self._polls[poll.number] = poll
+        COUNTERS.see("changelog.connections", len(self._polls))
+        self._tasks.start_soon(self._run, poll)
+
+    async def _run(self, poll: Poll) -> None:
+        """Poll over one connection until it ends."""
+        try:
+            with poll.scope:
+                await poll.connection.connect()
+                while await self._ask(poll):
+                    while poll.connection.pending:
+                        await poll.connection.wait()
+                        self._read(poll)
+                    if poll.was_empty:  # one that answers at once with nothing must not keep the front busy
+                        await anyio.sleep(self._schedule.terms.first_wait / 1000.0)
+        except Exception as error:  # whatever it is, the list held stays and another poll begins
+            self._fail(poll, error)
+        finally:
+            self._forget(poll)
+
+    async def _ask(self, poll: Poll) -> bool:
+        """Write the next poll; False where the connection is not to be used again."""
+        if poll.number not in self._polls:
+            return False
+        now = self._clock()
+        hold = self._schedule.asked(poll.number, now)
+        poll.phase, poll.began_at = "asked", now
+        await poll.connection.ask(path(self.last, round(hold)))
+        return True
+
+    def _read(self, poll: Poll) -> None:
+        """Read what has come on a connection; an answer is taken in at once."""
+        try:
+            text = poll.connection.read()
+            if text is not None:
+                self._answered(poll, text)
+        except FAULTS as error:
+            self._fail(poll, error)
+
+    def _answered(self, poll: Poll, text: bytes) -> None:
+        changes = read_text(text, self._names)
+        poll.was_empty = not changes
+        fault = self._accept(changes, poll)
+        if fault:
+            raise Malformed(fault)
+        now = self._clock()
+        goes_on = self._schedule.answered(poll.number, now)
+        self.polled(text)
+        self._changed.set()
+        if not goes_on or self.rests() or not poll.connection.may_ask_again():
+            self._forget(poll)
+            poll.scope.cancel()
+
+    def _accept(self, changes: list[Change], poll: Poll | None) -> str:
+        """Hand on what is new of an answer; return what is wrong with it (empty: nothing)."""
+        accepted = self._sequence.accept(changes)
+        if accepted.repeated:
+            COUNTERS.add("changelog.repeated", accepted.repeated)
+        for unusable in accepted.passed_over:
+            COUNTERS.add("changelog.passed_over")
+            say("changelog.passed_over", seq=unusable.seq, why=unusable.why)
+        waited = self._clock() - poll.began_at if poll is not None else 0.0
+        for change in accepted.changes:
+            _say_applied(change, waited)
+        if accepted.changes:
+            COUNTERS.add("changelog.events", len(accepted.changes))
+            self._hand_on(accepted.changes)
+        return accepted.fault
+
+    def _give_up(self, number: int, why: str) -> None:
+        """End a connection; what lies unread on it is taken in first."""
+        poll = self._polls.get(number)
+        if poll is None:
+            self._schedule.ended(number)
+            return
+        self._read(poll)
+        if poll.number in self._polls:
+            self._fail(poll, TimeoutError(why))
+
+    def _fail(self, poll: Poll, error: Exception) -> None:
+        if poll.number not in self._polls:
+            return
+        COUNTERS.add("changelog.failed")
+        now = self._clock()
+        self._say_failed(error, poll.phase, now - poll.began_at)
+        self._schedule.failed(poll.number, now)
+        self._forget(poll)
+        poll.scope.cancel()
+
+    def _say_failed(self, error: Exception, phase: str, waited: float) -> None:
+        kind, why = type(error).__name__, str(error)
+        say("changelog.failed", kind=kind, why=why, phase=phase, waited=waited, since=self.last)
+
+    def _forget(self, poll: Poll) -> None:
+        if self._polls.pop(poll.number, None) is not None:
+            self._schedule.ended(poll.number)
+            self._changed.set()
+        poll.connection.close()
+
+
+def _say_applied(change: Change, waited: float) -> None:
+    """Log a change of the list of endpoints: who is in which state from now on."""
+    if not isinstance(change, Listing):
+        return
+    states = [f"{line.name} {line.lifecycle.name.lower()}" for line in change.lines[:NAMED]]
+    more = len(change.lines) - len(states)
+    endpoints = ", ".join(states) + (f" and {more} more" if more else "")
+    say("changelog.applied", seq=change.seq, endpoints=endpoints, waited=waited)
--- /dev/null
+++ b/cometseam/discovery/connection.py
@@ -0,0 +1,130 @@
+"""One connection to discovery: a non-blocking socket, and HTTP/1.1 over it (h11).
+
+What has come in can be read in two ways: by the task that waits for it, and at any moment by `read`, which
+never waits. So the front can take in what lies unread before it acts on what it knew.
+"""
+
+import json
+import socket
+
+import anyio
+import h11
+
+from cometseam.protocol import Malformed
+from cometseam.protocol.changelog import MOST
+
+READ_SIZE = 65536  # bytes a call
+HEAD_SIZE = 65536  # bytes of an answer's head at the most
+
+
+class DiscoveryConnection:
+    """Writes a poll, and collects its answer; one poll at a time."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        """Make the socket; OSError where the system has none to give."""
+        self.address = address
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setblocking(False)
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_SIZE)
+        self._body = bytearray()
+        self._has_end = True  # the answer's end is told by its head; else by the end of the connection
+        self._waiting: anyio.CancelScope | None = None
+        self.pending = False  # a poll is written and its answer is not whole
+        self.closed = False
+
+    async def connect(self) -> None:
+        """Wait until the connection has come up; OSError where it does not. Cancelled, it is to be closed."""
+        try:
+            self._socket.connect(self.address)
+        except BlockingIOError:
+            await anyio.wait_writable(self._socket)
+        if error := self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise OSError(error, "not connected")
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    async def ask(self, target: str) -> None:
+        """Write a poll."""
+        host = f"{self.address[0]}:{self.address[1]}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
+        data = (self._http.send(request) or b"") + (self._http.send(h11.EndOfMessage()) or b"")
+        self._body.clear()
+        self.pending = True
+        while data:
+            try:
+                data = data[self._socket.send(data) :]
+            except (BlockingIOError, InterruptedError):
+                await anyio.wait_writable(self._socket)
+
+    async def wait(self) -> None:
+        """Wait until something has come in, or `read` has had the answer meanwhile."""
+        if not self.pending:
+            return
+        with anyio.CancelScope() as self._waiting:
+            await anyio.wait_readable(self._socket)
+        self._waiting = None
+
+    def read(self) -> bytes | None:
+        """Read what has come in; return the answer's text once it is whole.
+
+        Raises:
+            Malformed: the answer is of no use, or the connection ended inside it.
+            OSError: the connection broke.
+            h11.RemoteProtocolError: what came is no HTTP.
+        """
+        while self.pending and not self.closed:
+            try:
+                data = self._socket.recv(READ_SIZE)
+            except (BlockingIOError, InterruptedError):
+                return None
+            self._http.receive_data(data)
+            text = self._take()
+            if text is not None:
+                self.pending = False
+                if self._waiting is not None:
+                    self._waiting.cancel()
+                return text
+        return None
+
+    def _take(self) -> bytes | None:
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                return None if self._has_end else self._whole_without_end()
+            if isinstance(event, h11.Response):
+                if event.status_code != 200:
+                    raise Malformed(f"status {event.status_code}")
+                names = {name for name, _ in event.headers}
+                self._has_end = bool(names & {b"content-length", b"transfer-encoding"})
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > MOST:
+                    raise Malformed("an answer that does not end")
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(self._body)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise Malformed("the connection ended inside an answer")
+
+    def _whole_without_end(self) -> bytes | None:
+        """Return an answer that only the connection's end would end, once its text is whole."""
+        if not self._body.rstrip().endswith(b"}"):
+            return None
+        try:
+            json.loads(self._body)
+        except ValueError:
+            return None
+        return bytes(self._body)
+
+    def may_ask_again(self) -> bool:
+        """Make ready for the next poll; False where the connection has to end after this answer."""
+        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """Close the socket. What lies unread is lost: `read` first."""
+        if self.closed:
+            return
+        self.closed, self.pending = True, False
+        anyio.notify_closing(self._socket)
+        self._socket.close()
--- /dev/null
+++ b/cometseam/discovery/schedule.py
@@ -0,0 +1,137 @@
+"""When discovery is polled, on how many connections at once, and when one of them is given up. No I/O.
+
+A poll whose answer is late may still be answered, and that answer notifies the front whether or not it is
+read. So a late poll is not given up: another begins beside it, on a connection of its own, and whichever is
+answered first tells. All times are milliseconds of a monotonic clock, which the caller passes in.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PollTerms:
+    """Spans in milliseconds, and how many connections there may be.
+
+    With the defaults three connections in a row may fall silent, the two that replace the first among them,
+    and a fourth asks 3.5 s after the first did; a fifth does at 6.5 s. An answer may take up to `lost_after`.
+    """
+
+    hold: float = 1500.0  # how long discovery may keep a poll that it has nothing to tell
+    quick_hold: float = 1.0  # the same of a poll that begins beside an overdue one: it is answered at once
+    answer_patience: float = 500.0  # past its hold, an unanswered poll is overdue
+    connect_patience: float = 1000.0  # a connection that has not come up by then is overdue
+    lost_after: float = 5000.0  # past its hold, an unanswered poll is given up
+    connect_lost_after: float = 3000.0  # a connection that has not come up by then is given up
+    first_gap: float = 500.0  # between two polls that begin since the last answer; it doubles
+    longest_gap: float = 1000.0
+    first_wait: float = 20.0  # after a connection that failed, until another begins; it doubles
+    longest_wait: float = 500.0
+    most: int = 4  # connections at once
+
+
+@dataclass(slots=True)
+class Outstanding:
+    """One connection: coming up (`hold` is None), or with a poll that is not answered yet."""
+
+    since: float
+    hold: float | None = None
+    current: bool = True  # to the address that is configured now
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """What is to be done now, and when to look again (the same clock)."""
+
+    begin: bool
+    lost: tuple[int, ...]
+    look_at: float
+
+
+class PollSchedule:
+    """Decides for all connections of one front; a connection goes by a number that the caller gives it."""
+
+    def __init__(self, terms: PollTerms) -> None:
+        """Begin with no connection."""
+        self.terms = terms
+        self._outstanding: dict[int, Outstanding] = {}
+        self._begin_from = float("-inf")  # no connection begins before
+        self._gap, self._wait = terms.first_gap, terms.first_wait
+
+    def __len__(self) -> int:
+        """Return how many connections there are."""
+        return len(self._outstanding)
+
+    def check(self, now: float) -> Check:
+        """Tell whether another connection is to begin, and which ones are given up."""
+        lost = tuple(number for number, each in self._outstanding.items() if self._lost_at(each) <= now)
+        live = [each for number, each in self._outstanding.items() if number not in lost]
+        overdue_at = max((self._overdue_at(each) for each in live if each.current), default=now)
+        begin_at = max(overdue_at, self._begin_from)
+        has_place = len(live) < self.terms.most
+        begin = has_place and begin_at <= now
+        times = [self._lost_at(each) for each in live]
+        if has_place and not begin:
+            times.append(begin_at)
+        return Check(begin, lost, min(times, default=now + self.terms.hold))
+
+    def begun(self, number: int, now: float) -> None:
+        """Take in that a connection begins to come up."""
+        if any(each.current for each in self._outstanding.values()):
+            self._begin_from = now + self._gap
+            self._gap = min(2.0 * self._gap, self.terms.longest_gap)
+        self._outstanding[number] = Outstanding(now)
+
+    def asked(self, number: int, now: float) -> float:
+        """Take in that a poll is written on a connection; return how long discovery may hold it."""
+        outstanding = self._outstanding[number]
+        is_first = outstanding.hold is None
+        others = [each for other, each in self._outstanding.items() if other != number and each.current]
+        hold = self.terms.quick_hold if is_first and others else self.terms.hold
+        outstanding.since, outstanding.hold = now, hold
+        return hold
+
+    def answered(self, number: int, now: float) -> bool:
+        """Take in an answer; return whether the next poll goes over the same connection.
+
+        It does not where another connection polls well, or where discovery has moved.
+        """
+        self._gap, self._wait = self.terms.first_gap, self.terms.first_wait
+        self._begin_from = now
+        answered = self._outstanding[number]
+        others = [each for other, each in self._outstanding.items() if other != number and each.current]
+        return answered.current and not any(now < self._overdue_at(each) for each in others)
+
+    def ended(self, number: int) -> None:
+        """Take in that a connection is closed."""
+        self._outstanding.pop(number, None)
+
+    def failed(self, number: int, now: float) -> None:
+        """Take in that a connection broke, was refused, or brought what cannot be used."""
+        self.ended(number)
+        self._begin_from = now + self._wait
+        self._wait = min(2.0 * self._wait, self.terms.longest_wait)
+
+    def moved(self, now: float) -> list[int]:
+        """Take in that discovery has another address: a connection to it begins at once.
+
+        Polls that are outstanding at the old one may still be answered. Returned are the connections that are
+        to end: those with no poll yet, and the oldest where there would be no place for the new one.
+        """
+        self._gap, self._wait, self._begin_from = self.terms.first_gap, self.terms.first_wait, now
+        for each in self._outstanding.values():
+            each.current = False
+        ends = [number for number, each in self._outstanding.items() if each.hold is None]
+        polled = [number for number in self._outstanding if number not in ends]
+        if len(polled) >= self.terms.most:
+            ends.append(min(polled, key=lambda number: self._outstanding[number].since))
+        return ends
+
+    def _overdue_at(self, each: Outstanding) -> float:
+        if each.hold is None:
+            return each.since + self.terms.connect_patience
+        return each.since + each.hold + self.terms.answer_patience
+
+    def _lost_at(self, each: Outstanding) -> float:
+        if each.hold is None:
+            return each.since + self.terms.connect_lost_after
+        return each.since + each.hold + self.terms.lost_after
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -10,6 +10,7 @@
 
 from cometseam.config import Config, read_config
 from cometseam.counters import COUNTERS, memory_taken
+from cometseam.discovery import DiscoveryClient
 from cometseam.events import say
 from cometseam.logic import Front
 from cometseam.operator import Compiled, Refused
@@ -17,7 +18,6 @@
 from cometseam.routing.actor import Router
 from cometseam.tracing import Mode, Tracer
 from cometseam.transport.buffers import Pool
-from cometseam.transport.changelog import ChangeLog
 from cometseam.transport.client import MOST_OPEN, Listener
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection import LINGER
@@ -48,18 +48,19 @@
     listener = Listener(config.listen, config.clients, pool, clock, router, config.links.connect_within)
     # Where buffers run short, a client that takes nothing for as long as a peer may take to connect goes.
     pool.on_short = lambda: listener.make_room(config.links.connect_within)
-    log = ChangeLog(config.changelog, config.last, config.names, router.change)
+    discovery = DiscoveryClient(config.changelog, config.last, config.names, router.change)
+    router.read_discovery = discovery.read_now
     # What is there now stays, and pulls leave next to nothing in cycles: looking for those often is waste.
     gc.collect()
     gc.freeze()
     gc.set_threshold(UNSEEN)
-    fleet = _fleet(config, compiled, router, log)
+    fleet = _fleet(config, compiled, router, discovery)
     async with anyio.create_task_group() as tasks:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
             if compiled is not None:
                 router.replan(compiled)
             router.change(list(config.known))
-            for actor in (router.run, timers.run, log.run):
+            for actor in (router.run, timers.run, discovery.run):
                 tasks.start_soon(actor)
             tasks.start_soon(listener.run, tasks)
             tasks.start_soon(listener.end_overdue, config.links.longest_cut_off)
@@ -77,7 +78,7 @@
                 if (new := _reread(config)) is not None:
                     pool.resize((new.memory - taken) // POOL_PART)
                     listener.most, around.connections = new.clients, new.peers
-                    log.move(new.changelog)
+                    discovery.move(new.changelog)
                 # Its evaluation takes a while: what was asked for before is no longer wanted. It is checked
                 # against the settings that run: others need a restart.
                 turn = reader.next()
@@ -92,7 +93,9 @@
     _print("at exit", router)
 
 
-def _fleet(config: Config, compiled: Compiled | None, router: Router, log: ChangeLog) -> Actor | None:
+def _fleet(
+    config: Config, compiled: Compiled | None, router: Router, discovery: DiscoveryClient
+) -> Actor | None:
     """Return the front's part in the fleet; None, with nothing imported, where the file names no service."""
     if compiled is None or compiled.fleet is None:
         return None
@@ -113,7 +116,7 @@
         shares = (found, own(settings, zones, found), router.wishes, router.grant)
         if terms.relays is not None:
             router.cap(*terms.relays)
-    return Party(terms, config.name, boot_time, router.addresses, judged, log, shares).run
+    return Party(terms, config.name, boot_time, router.addresses, judged, discovery, shares).run
 
 
 def _print(why: str, router: Router) -> None:
--- a/cometseam/protocol/changelog.py
+++ b/cometseam/protocol/changelog.py
@@ -1,6 +1,7 @@
 """The change log: numbered events on the list of caches and on purges."""
 
 import json
+from contextlib import suppress
 from dataclasses import dataclass
 
 from cometseam.interface import Lifecycle
@@ -25,6 +26,11 @@
     weight: float
     ready_at: float
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether requests may be sent to it."""
+        return self.lifecycle is Lifecycle.READY
+
 
 @dataclass(frozen=True, slots=True)
 class Listing:
@@ -47,10 +53,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Unusable:
-    """An event that can't be read."""
+    """An event that can't be read, and of a list of caches the lines that can."""
 
     seq: int
     why: str
+    usable: Listing | None = None
 
 
 Change = Listing | Purge | Unusable
@@ -76,9 +83,9 @@
     for item in answer.sections("results"):
         seq = item.whole("seq", low=0)
         try:
-            changes.append(_purge(seq, item) if "invalidate" in item.values else _listing(seq, item, names))
+            changes.append(_purge(seq, item) if "invalidate" in item.values else _whole(seq, item, names))
         except Faulty as error:
-            changes.append(Unusable(seq, str(error)))
+            changes.append(Unusable(seq, str(error), _usable(seq, item, names)))
     return sorted(changes, key=lambda change: change.seq)
 
 
@@ -90,24 +97,47 @@
     return Purge(seq, 0, purge.whole("bucket", low=0), time)
 
 
-def _listing(seq: int, item: Section, names: Names) -> Listing:
+def _whole(seq: int, item: Section, names: Names) -> Listing:
+    """Read a list of caches of which each line can be read."""
     listing = item.section("fleet")
+    lines = tuple(_line(line, names) for line in listing.sections("endpoints"))
+    return Listing(seq, listing.flag("snapshot"), lines)
+
+
+def _usable(seq: int, item: Section, names: Names) -> Listing | None:
+    """Read what can be read of a list of caches.
+
+    Of a line that can't, the name and a state that takes no more requests are enough: it counts as gone.
+    """
+    lines = []
+    try:
+        listing = item.section("fleet")
+        for line in listing.sections("endpoints"):
+            with suppress(Faulty):
+                try:
+                    lines.append(_line(line, names))
+                except Faulty:
+                    name = line.text("name")
+                    if line.one_of("status", STATES) is not Lifecycle.READY:
+                        lines.append(Line(name, ("", 0), 0, 0, 0, Lifecycle.GONE, 1.0, 0.0))
+        return Listing(seq, listing.flag("snapshot"), tuple(lines)) if lines else None
+    except Faulty:
+        return None
+
+
+def _line(line: Section, names: Names) -> Line:
     zones = {name: place for place, name in enumerate(names.zones)}
     kinds = {name: place for place, name in enumerate(names.kinds)}
-    lines = tuple(
-        Line(
-            name=line.text("name"),
-            address=read_address(line, "address"),
-            zone=line.one_of("zone", zones),
-            kind=line.one_of("type", kinds),
-            cell=line.whole("group", 0),
-            lifecycle=line.one_of("status", STATES),
-            weight=line.number("weight", 1.0, low=0),
-            ready_at=line.number("since_ms", 0.0, low=0),
-        )
-        for line in listing.sections("endpoints")
+    return Line(
+        name=line.text("name"),
+        address=read_address(line, "address"),
+        zone=line.one_of("zone", zones),
+        kind=line.one_of("type", kinds),
+        cell=line.whole("group", 0),
+        lifecycle=line.one_of("status", STATES),
+        weight=line.number("weight", 1.0, low=0),
+        ready_at=line.number("since_ms", 0.0, low=0),
     )
-    return Listing(seq, listing.flag("snapshot"), lines)
 
 
 def read_id(section: Section, key: str) -> int:
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -111,7 +111,7 @@
 
 
 Fleet = Judge | Grant | i.Capped | i.Allotted
-Message = Taken | Left | End | list[Change] | i.Rang | i.Lagged | i.Closing | Replan | Fleet
+Message = Taken | Left | End | i.Rang | i.Lagged | i.Closing | Replan | Fleet
 
 
 class Router:
@@ -137,6 +137,7 @@
         self._tasks: TaskGroup | None = None
         self._table: Table | None = None  # of the operator's routes; pulls that are open keep their plan
         self._listed = False
+        self.read_discovery: Callable[[], None] = lambda: None  # takes in what lies unread, see `change`
         self._told_at: dict[int, float] = {}  # by cache that drains or is gone: when that was taken in
         self.draining = self._closing = False
         self._tracer = tracer if tracer is not None and tracer.mode is not Mode.OFF else None
@@ -172,8 +173,13 @@
         self._mailbox.push(Left(client, stream))
 
     def change(self, changes: list[Change]) -> None:
-        """Take in events of the change log."""
-        self._mailbox.put_urgent(changes)
+        """Act on events of discovery, in this turn: what is decided from now on goes by them."""
+        for change in changes:
+            try:
+                self._change(change)
+            except Exception as error:  # the events behind it count all the same
+                COUNTERS.add("routing.exception")
+                say("actor.failed", error, kind=type(change).__name__)
 
     def lag(self, by: float) -> None:
         """The front comes so much later to what is due."""
@@ -260,6 +266,7 @@
                     say("actor.failed", error, kind=type(message).__name__)
 
     def _handle(self, message: Message) -> None:
+        self.read_discovery()  # what it has told counts, however late this front comes to it
         match message:
             case Taken():
                 self._taken(message)
@@ -289,9 +296,6 @@
                 self._table = message.compiled.table
                 self._decide(message.compiled.plans)
                 self._relevel(message.compiled)
-            case _:
-                for change in message:
-                    self._change(change)
 
     def _taken(self, taken: Taken) -> None:
         order, now = taken.order, self._around.clock.now()
@@ -330,7 +334,11 @@
         self._decide(event)
 
     def _awaits(self, client: Client, stream: int, since: float) -> bool:
-        """Tell whether a client still waits for a stream that it asked for at `since`."""
+        """Tell whether a client still waits for a stream that it asked for at `since`.
+
+        Asked just before a request is written, so what discovery has told is read here as well.
+        """
+        self.read_discovery()
         if self._around.clock.now() - since > LOOK_AFTER:
             client.look()
         return client.awaits(stream)
@@ -376,9 +384,13 @@
             self._reconsider(lambda _, relay: relay.cache in changed or relay.source in changed)
 
     def _reconsider(self, concerned: Callable[[Open, i.Relay], bool]) -> None:
-        """Take back relays not written yet: they were decided before a drain, a purge, a new start."""
+        """Take back relays not written yet: they were decided before a drain, a purge, a new start.
+
+        They are marked in this turn: a connection may come up before the peer's actor has its next.
+        """
         for pull in list(self._open.values()):
             if pull.out is not None and pull.out.peer is not None and concerned(pull, pull.out.relay):
+                pull.out.ask.wanted = False
                 pull.out.peer.mailbox.push(GiveUp(pull.out.ask, if_unsent=True))
 
     async def _retire(self, peer: Peer) -> None:
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -21,12 +21,13 @@
 class Outgoing:
     """A message on its way out."""
 
-    __slots__ = ("begun", "done", "parts")
+    __slots__ = ("begin", "begun", "done", "parts")
 
     def __init__(self, parts: list[Part], done: Callable[[bool], None] | None) -> None:
         self.parts = parts
         self.done = done  # told once, whether the message was written whole
         self.begun = False
+        self.begin: Callable[[], bool] | None = None  # asked before its first byte; False: it is dropped
 
     def finish(self, whole: bool) -> None:
         """Tell how it went."""
@@ -85,8 +86,17 @@
         except (OSError, IndexError, AttributeError):  # not told here: it shows when it is read
             return False
 
-    def send(self, parts: list[Part], done: Callable[[bool], None] | None = None) -> Outgoing:
-        """Write a message, at once as far as the socket takes it."""
+    def send(
+        self, parts: list[Part], done: Callable[[bool], None] | None = None,
+        begin: Callable[[], bool] | None = None,
+    ) -> Outgoing:  # fmt: skip
+        """Write a message, at once as far as the socket takes it.
+
+        Args:
+            parts: its bytes.
+            done: told once, whether it was written whole.
+            begin: where it has to wait, asked just before its first byte; False drops it.
+        """
         message = Outgoing(parts, done)
         if self.is_ending:
             message.finish(False)
@@ -96,6 +106,7 @@
         self._out.append(message)
         if len(self._out) == 1:
             self._write()
+        message.begin = begin
         return message
 
     def withdraw(self, message: Outgoing) -> bool:
@@ -109,6 +120,10 @@
     def _write(self) -> None:
         while self._out:
             message = self._out[0]
+            if not message.begun and message.begin is not None and not message.begin():
+                self._out.popleft()
+                message.finish(False)
+                continue
             try:
                 sent = self._sock.sendmsg(message.parts)
             except (BlockingIOError, InterruptedError):
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -72,7 +72,7 @@
 
     def may_begin(self, now: float) -> bool:
         """Tell whether it may be written: for a client that still waits, while a repeat of it is dropped."""
-        return self.wanted and now <= self.begin_by and self.awaited()
+        return self.awaited() and self.wanted and now <= self.begin_by
 
 
 @dataclass(slots=True)
@@ -278,8 +278,16 @@
         def written(whole: bool) -> None:
             ask.written_at = self._around.clock.now() if whole else 0.0
 
+        def begin() -> bool:
+            # It has waited behind others: what was learnt meanwhile counts, as at `Peer.place`.
+            if ask.may_begin(self._around.clock.now()):
+                return True
+            self.asks.pop(ask.command.id, None)
+            self._peer.end(ask, How.UNSENT)
+            return False
+
         ask.begins()
-        ask.outgoing = self.connection.send(parts, written)
+        ask.outgoing = self.connection.send(parts, written, begin)
 
     def take_back(self, ask: Ask) -> bool:
         """Take a relay back, if nothing of it is written."""
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -182,10 +182,10 @@
 
     async def test() -> None:
         await anyio.lowlevel.checkpoint()
-        actor._handle([listing()])
+        actor.change([listing()])
         # The peer has no turn between the two: its relay waits for a connection when the change comes in.
         actor._handle(Taken(cast(Client, caller), 1, order(), actor._around.clock.now()))
-        actor._handle([later])
+        actor.change([later])
         await news.until(lambda: ends)
         assert ends[0].outcome is i.Outcome.MOOT
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,15 +16,14 @@
 
 from cometseam import interface as i
 from cometseam.counters import COUNTERS
+from cometseam.discovery import DiscoveryClient, PollSchedule, PollTerms
 from cometseam.interface import Lifecycle
 from cometseam.logic import Front
 from cometseam.mailbox import Mailbox
 from cometseam.protocol.changelog import Listing
 from cometseam.protocol.resp import Command
 from cometseam.routing.actor import Router
-from cometseam.transport import changelog
 from cometseam.transport.buffers import SIZE, Pool
-from cometseam.transport.changelog import ChangeLog
 from cometseam.transport.client import Client, Listener
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection import Connection
@@ -176,19 +175,34 @@
         assert served == (2 if wanted else 1)
 
 
-async def test_a_relay_queued_behind_one_that_the_cache_takes_no_bytes_of_is_taken_back() -> None:
-    """A socket that takes no bytes: what has not begun is not sent when it takes some again."""
-    go, got = anyio.Event(), bytearray()
+def unread(here: Here, go: anyio.Event, got: bytearray) -> tuple[str, int]:
+    """Accept one connection, and read nothing of it until told to; a stream of anyio reads at once."""
+    listening = socket.create_server(("127.0.0.1", 0))
+    listening.setblocking(False)
 
-    async def serve(stream: SocketStream) -> None:
-        await go.wait()
-        with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+    async def serve() -> None:
+        await anyio.wait_readable(listening)
+        with listening, listening.accept()[0] as sock:
+            sock.setblocking(False)
+            await go.wait()
             while True:
-                got.extend(await stream.receive())
+                await anyio.wait_readable(sock)
+                data = sock.recv(1 << 16)
+                if not data:
+                    return
+                got.extend(data)
                 here.news.tell()
 
+    here.tasks.start_soon(serve)
+    host, port = listening.getsockname()
+    return host, port
+
+
+async def test_a_relay_queued_behind_one_that_the_cache_takes_no_bytes_of_is_taken_back() -> None:
+    """A socket that takes no bytes: what has not begun is not sent when it takes some again."""
+    go, got = anyio.Event(), bytearray()
     async with one_peer(connections=1) as here:
-        await here.start(serve)
+        await here.start(address=unread(here, go, got))
         first = here.ask(1, body=BIG)
         await here.news.until(lambda: True)
         while first.outgoing is None or not first.outgoing.begun:
@@ -205,6 +219,27 @@
         assert f"{2:016x}".encode() not in got
 
 
+async def test_an_attempt_queued_on_a_full_socket_is_dropped_if_it_is_unwanted_when_its_turn_comes() -> None:
+    """The socket takes bytes again before the peer has its turn, as after a stand-still of the front."""
+    go, got = anyio.Event(), bytearray()
+    async with one_peer(connections=1) as here:
+        address = unread(here, go, got)
+        await here.start(address=address)
+        first = here.ask(1, body=BIG)
+        while first.outgoing is None or not first.outgoing.begun:
+            await turns()
+        second, third = here.ask(2), here.ask(3)
+        while third.outgoing is None:
+            await turns()
+        assert second.outgoing and not second.outgoing.begun  # it waits behind what is stuck
+        second.awaited = lambda: False
+        go.set()
+        assert await here.ended() == [How.UNSENT] and here.ends[0].ask is second
+        await here.news.until(lambda: f"{3:016x}".encode() in got)
+        assert f"{2:016x}".encode() not in got and second.written_at == 0.0
+        assert first.channel is not None and set(first.channel.asks) == {f"{1:016x}", f"{3:016x}"}
+
+
 @pytest.mark.parametrize(
     "change",
     [{"address": ("127.0.0.1", 1)}, {"ready_at": 5.0}, {"lifecycle": Lifecycle.DRAINING}],
@@ -477,14 +512,25 @@
 # The change log
 
 
-async def test_three_watches_in_a_row_fall_silent_and_it_is_heard_within_seven_seconds(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def fourth_poll(terms: PollTerms) -> float:
+    """Return when the fourth connection polls where three before stay silent, in ms from the first poll."""
+    schedule, now, begun = PollSchedule(terms), 0.0, 0
+    while begun < 4:
+        check = schedule.check(now)
+        assert not check.lost
+        if check.begin:
+            begun += 1
+            schedule.begun(begun, now)
+            schedule.asked(begun, now)  # they come up at once
+        else:
+            now = check.look_at
+    return now
+
+
+async def test_three_watches_in_a_row_fall_silent_and_it_is_heard_within_seven_seconds() -> None:
     """What replaces a silent connection is silent too, and the next; one of them dribbles for ever."""
-    longest = 3 * (changelog.POLL + changelog.PATIENCE + changelog.FIRST_WAIT * 4)
-    assert longest < 7000.0 - 500.0  # with what a front takes to connect, and is late itself
-    monkeypatch.setattr(changelog, "POLL", 40)
-    monkeypatch.setattr(changelog, "PATIENCE", 20)
+    assert fourth_poll(PollTerms()) < 7000.0 - 500.0  # with what a front takes to connect, and is late itself
+    terms = PollTerms(hold=40.0, answer_patience=20.0, first_gap=20.0, longest_gap=40.0)
     news, came = News(), 0
     told: list[Any] = []
     event = {"seq": 2, "invalidate": {"object": "7" * 16, "time": 1}}
@@ -517,7 +563,7 @@
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
             tasks.start_soon(listener.serve, serve)
             address = ("127.0.0.1", listener.extra(SocketAttribute.local_port))
-            log = ChangeLog(address, 1, CONFIG.names, hand_on)
+            log = DiscoveryClient(address, 1, CONFIG.names, hand_on, terms)
             tasks.start_soon(log.run)
             await news.until(lambda: told)
             assert came == 4 and log.last == 2
@@ -555,7 +601,7 @@
                 listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
                 tasks.start_soon(listener.serve, serve)
                 addresses.append(("127.0.0.1", listener.extra(SocketAttribute.local_port)))
-            log = ChangeLog(addresses[0], 1, CONFIG.names, told.extend)
+            log = DiscoveryClient(addresses[0], 1, CONFIG.names, told.extend)
             tasks.start_soon(log.run)
             await half.wait()
             await turns()
