--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,279 @@
+"""Discovery: when polls begin and end, which events are taken, and what a connection's end may not cost."""
+
+import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cometseam.discovery import DiscoveryClient, EventSequence, PollSchedule, PollTerms
+from cometseam.interface import Lifecycle
+from cometseam.protocol.changelog import Change, Line, Listing, Purge, Unusable, read_text
+from tests.drive import SAMPLE, News
+from tests.standins.discovery import Discovery
+from tests.test_actors import CONFIG
+
+pytestmark = pytest.mark.anyio
+TERMS = PollTerms()
+OVERDUE = TERMS.hold + TERMS.answer_patience
+LINES = SAMPLE["known"]["results"][0]["fleet"]["endpoints"]
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+# The schedule
+
+
+def polling(*begun_at: float) -> PollSchedule:
+    """A schedule with a poll outstanding on connection 1, 2, …, each since then."""
+    schedule = PollSchedule(TERMS)
+    for number, at in enumerate(begun_at, 1):
+        schedule.begun(number, at)
+        schedule.asked(number, at)
+    return schedule
+
+
+def test_an_overdue_poll_stays_outstanding_while_another_begins_beside_it() -> None:
+    schedule = polling(0.0)
+    before = schedule.check(OVERDUE - 1.0)
+    assert (before.begin, before.lost, before.look_at) == (False, (), OVERDUE)
+    at_once = schedule.check(OVERDUE)
+    assert (at_once.begin, at_once.lost) == (True, ())
+
+
+def test_a_poll_beside_an_overdue_one_is_to_be_answered_at_once_and_its_next_is_held_again() -> None:
+    schedule = polling(0.0)
+    schedule.begun(2, OVERDUE)
+    assert schedule.asked(2, OVERDUE) == TERMS.quick_hold
+    assert schedule.answered(2, OVERDUE + 5.0)
+    assert schedule.asked(2, OVERDUE + 5.0) == TERMS.hold
+
+
+def test_an_answer_on_an_overdue_connection_ends_it_only_where_another_polls_well() -> None:
+    schedule = polling(0.0)
+    schedule.begun(2, OVERDUE)
+    schedule.asked(2, OVERDUE)
+    assert not schedule.answered(1, OVERDUE + 1.0)  # connection 2 is not overdue yet
+    schedule = polling(0.0, 0.0)
+    assert schedule.answered(1, OVERDUE + 1.0)  # the other is: the poll goes on here
+
+
+def test_a_move_keeps_outstanding_polls_ends_what_has_none_and_begins_at_once() -> None:
+    schedule = polling(0.0, 10.0)
+    schedule.begun(3, 20.0)  # comes up
+    assert schedule.moved(30.0) == [3]
+    schedule.ended(3)
+    assert schedule.check(30.0).begin
+    assert not schedule.answered(1, 40.0)  # the old address is polled no more
+    schedule = polling(10.0, 0.0, 20.0, 30.0)
+    assert schedule.moved(40.0) == [2]  # there is no place for the new one: the oldest goes
+
+
+def test_connections_that_fail_at_once_begin_anew_after_waits_that_double_to_a_bound() -> None:
+    schedule, now, waits = PollSchedule(TERMS), 0.0, []
+    for number in range(8):
+        assert schedule.check(now).begin
+        schedule.begun(number, now)
+        schedule.failed(number, now)
+        waits.append(schedule.check(now).look_at - now)
+        now += waits[-1]
+    assert waits == [20.0, 40.0, 80.0, 160.0, 320.0, 500.0, 500.0, 500.0]
+
+
+@given(st.lists(st.tuples(st.sampled_from(["up", "answer", "fail", "move", "wait"]), st.integers(0, 3),
+                          st.floats(1.0, 3000.0)), max_size=60))  # fmt: skip
+def test_whatever_happens_polls_are_bounded_none_is_given_up_early_and_one_begins_in_time(
+    steps: list[tuple[str, int, float]],
+) -> None:
+    """The state is kept beside the schedule, and each check is judged by it."""
+    schedule, now, begun = PollSchedule(TERMS), 0.0, 0
+    # By connection: since when, how long its poll is held (None: it comes up), at which address.
+    since: dict[int, tuple[float, float | None, bool]] = {}
+    free_from = 0.0  # no connection has to begin before: back-off, gaps
+    for kind, which, wait in steps:
+        check = schedule.check(now)
+        for number in check.lost:
+            began, hold, _ = since.pop(number)
+            bound = TERMS.connect_lost_after if hold is None else hold + TERMS.lost_after
+            assert now - began >= bound
+            schedule.failed(number, now)
+            free_from = max(free_from, now + TERMS.longest_wait)
+        current = [each for each in since.values() if each[2]]
+        if check.begin:
+            begun += 1
+            schedule.begun(begun, now)
+            since[begun] = (now, None, True)
+            free_from = max(free_from, now + TERMS.longest_gap)
+        elif len(since) < TERMS.most and now > free_from:
+            patience = [at + (TERMS.connect_patience if hold is None else hold + TERMS.answer_patience)
+                        for at, hold, _ in current]  # fmt: skip
+            assert max(patience, default=-1.0) > now  # one is still in time
+        assert len(since) <= TERMS.most and len(schedule) == len(since)
+        assert schedule.check(now).look_at > now
+        numbers = sorted(since)
+        number = numbers[which % len(numbers)] if numbers else 0
+        if kind == "up" and number and since[number][1] is None:
+            since[number] = (now, schedule.asked(number, now), since[number][2])
+        elif kind == "answer" and number and since[number][1] is not None:
+            if schedule.answered(number, now):
+                since[number] = (now, schedule.asked(number, now), since[number][2])
+            else:
+                schedule.ended(number)
+                del since[number]
+        elif kind == "fail" and number:
+            schedule.failed(number, now)
+            free_from = max(free_from, now + TERMS.longest_wait)
+            del since[number]
+        elif kind == "move":
+            for ended in schedule.moved(now):
+                schedule.ended(ended)
+                del since[ended]
+            since = {each: (at, hold, False) for each, (at, hold, _) in since.items()}
+        now += wait
+
+
+# The sequence of events
+
+
+def drain_of(seq: int, name: str = "c", state: Lifecycle = Lifecycle.DRAINING) -> Listing:
+    return Listing(seq, False, (Line(name, ("127.0.0.1", 1), 0, 0, 0, state, 1.0, 0.0),))
+
+
+def test_events_come_once_in_order_and_a_gap_is_asked_for_once_more_before_it_is_passed() -> None:
+    sequence = EventSequence(1)
+    first = sequence.accept([Purge(2, 7, 0, 1.0), Purge(4, 9, 0, 1.0)])
+    assert [change.seq for change in first.changes] == [2] and "event 4 instead" in first.fault
+    again = sequence.accept([Purge(2, 7, 0, 1.0), Purge(4, 9, 0, 1.0)])
+    assert ([change.seq for change in again.changes], again.repeated, again.fault) == ([4], 1, "")
+    assert sequence.last == 4
+
+
+def test_the_drains_of_an_event_that_cannot_be_read_whole_act_at_once_and_its_other_lines_at_the_second_look(
+    ) -> None:  # fmt: skip
+    both = Listing(2, False, (*drain_of(2).lines, *drain_of(2, "d", Lifecycle.READY).lines))
+    unusable: list[Change] = [Unusable(2, "a zone that is not known", both), Purge(3, 7, 0, 1.0)]
+    sequence = EventSequence(1)
+    first = sequence.accept(unusable)
+    assert first.changes == [drain_of(2)] and first.fault and sequence.last == 1
+    again = sequence.accept(unusable)
+    assert again.changes == [both, Purge(3, 7, 0, 1.0)] and not again.fault
+    assert again.passed_over == [unusable[0]] and sequence.last == 3
+
+
+def test_a_drain_behind_a_gap_waits_until_the_gap_is_asked_for_once_more() -> None:
+    """What is missing may tell that the endpoint is ready: the newer word has to come last."""
+    sequence = EventSequence(1)
+    assert sequence.accept([Unusable(3, "?", drain_of(3))]).changes == []
+
+
+def test_a_line_that_cannot_be_read_costs_no_drain_beside_it_and_counts_as_gone_where_it_leaves() -> None:
+    """Guards against an endpoint that stays in use since the event with its drain was passed over."""
+    lines = [
+        {**LINES[0], "name": "odd", "zone": "a zone that is not known"},
+        {**LINES[0], "status": "leaving"},
+        {"name": "bare", "status": "left"},
+        {"status": "left"},
+    ]
+    event = {"seq": 2, "fleet": {"index": 2, "snapshot": False, "endpoints": lines}}
+    (change,) = read_text(json.dumps({"seq": 2, "results": [event]}).encode(), CONFIG.names)
+    assert isinstance(change, Unusable) and change.usable is not None
+    states = {line.name: line.lifecycle for line in change.usable.lines}
+    assert states == {LINES[0]["name"]: Lifecycle.DRAINING, "bare": Lifecycle.GONE}
+
+
+# The client, on loopback
+
+
+@asynccontextmanager
+async def following(
+    *serve: Callable[[SocketStream], Any],
+) -> AsyncIterator[tuple[DiscoveryClient, list[Any], Any]]:
+    """A client, what it told, and the addresses of stand-ins."""
+    told: list[Any] = []
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            addresses = []
+            for each in serve:
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                tasks.start_soon(listener.serve, each)
+                addresses.append(("127.0.0.1", listener.extra(SocketAttribute.local_port)))
+            client = DiscoveryClient(addresses[0], 1, CONFIG.names, told.extend)
+            tasks.start_soon(client.run)
+            yield client, told, addresses
+            tasks.cancel_scope.cancel()
+
+
+async def test_an_answer_on_its_way_when_discovery_moves_is_taken_though_the_new_address_is_silent() -> None:
+    """New configurations come in quick succession; the event reaches the front over the old connection."""
+    old, new = Discovery(delay=0.3), Discovery(silent={1, 2, 3})
+    async with following(old.serve, new.serve) as (client, told, addresses):
+        await old.news.until(lambda: old.polls)
+        event = old.drain(LINES[0])
+        await anyio.sleep(0.1)
+        client.move(addresses[1])
+        await new.news.until(lambda: new.polls)
+        assert old.notified_at(event) is None  # the crossing: the answer is still to come
+        await old.news.until(lambda: old.notified_at(event) is not None)
+        while not told:
+            await anyio.sleep(0.001)
+        assert [change.seq for change in told] == [event] and client.last == event
+        await anyio.sleep(0.05)
+        assert len(old.polls) == 1  # the old address is polled no more
+
+
+async def test_an_answer_that_only_its_connections_end_would_end_is_taken_when_its_text_is_whole() -> None:
+    """The connection stays open: waiting for its end, the front would give a whole answer up."""
+    news, came = News(), 0
+    event = {"seq": 2, "invalidate": {"object": "7" * 16, "time": 1}}
+    text = json.dumps({"seq": 2, "results": [event]}).encode()
+
+    async def serve(stream: SocketStream) -> None:
+        nonlocal came
+        await stream.receive()
+        came += 1
+        news.tell()
+        if came > 1:
+            await anyio.sleep_forever()
+        await stream.send(b"HTTP/1.1 200 OK\r\n\r\n" + text[:20])
+        await anyio.sleep(0.05)
+        await stream.send(text[20:])
+        await anyio.sleep_forever()
+
+    async with following(serve) as (client, told, _):
+        await news.until(lambda: came == 2)  # the next poll goes over another connection
+        assert client.last == 2 and [change.seq for change in told] == [2]
+
+
+async def test_what_lies_unread_is_taken_without_a_turn_of_the_loop() -> None:
+    """What a router does before it sends: the answer has come, and no task has been told so yet."""
+    old = Discovery()
+    async with following(old.serve) as (client, told, _):
+        await old.news.until(lambda: old.polls)
+        event = old.drain(LINES[0])
+        await old.news.until(lambda: old.notified_at(event) is not None)
+        # The stand-in has written it in this very turn: the client's task is still to be woken.
+        had = list(told)
+        client._read_at = float("-inf")
+        client.read_now()
+        assert [change.seq for change in told] == [event]
+        assert not had
+
+
+async def test_a_silent_connection_is_left_open_until_another_is_answered() -> None:
+    silent = Discovery(silent={1})
+    async with following(silent.serve) as (client, told, _):
+        event = silent.drain(LINES[0])
+        while not told:
+            await anyio.sleep(0.01)
+        first, second = silent.polls[:2]
+        assert (first.connection, second.connection) == (1, 2)
+        assert 1.9 < second.asked_at - first.asked_at < 2.6 and second.hold < 0.01
+        assert client.last == event and len(client._polls) == 2
--- a/tests/test_late_drain.py
+++ b/tests/test_late_drain.py
@@ -14,7 +14,7 @@
 
 import signal
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -48,13 +48,19 @@
     discovery: Discovery
     written: list[tuple[float, str, str]] = field(default_factory=list)  # time, endpoint, source of a fill
     served: int = 0
+    lacking: bool = False  # whether the caches hold nothing, so that requests go on as fills
+    fresh: dict[str, list[str]] = field(default_factory=dict)  # by request: the age that each attempt allows
 
     async def answer(self, cache: Cache) -> None:
         """Answer all that a cache is asked, at once."""
         while True:
             asked: Asked = await cache.next()
             self.written.append((time.monotonic(), cache.name, asked.fields.get("via", "")))
-            await asked.answer("DONE", COPY, b"x")
+            self.fresh.setdefault(asked.id, []).append(asked.fields.get("fresh", "0"))
+            if self.lacking and "via" not in asked.fields:
+                await asked.answer("LACK")
+            else:
+                await asked.answer("DONE", COPY, b"x")
 
     async def ask(self, every: float) -> None:
         """Ask for another object each time, on one connection."""
@@ -66,21 +72,31 @@
             self.served += 1
             await anyio.sleep(every)
 
-    def late(self, since: float) -> list[float]:
+    def purge(self) -> int:
+        """Tell that the group which all requests belong to is purged now; return the event's number."""
+        return self.discovery.tell(invalidate={"bucket": 17, "time": round(time.time() * 1000.0)})
+
+    def late(self, since: float, endpoint: str = DRAINING) -> list[float]:
         """Return how long after `since` requests reached the draining endpoint, or named it as source."""
-        return [at - since for at, name, source in self.written if DRAINING in (name, source) and at > since]
+        return [at - since for at, name, source in self.written if endpoint in (name, source) and at > since]
 
 
-def request(stream: int, number: int) -> bytes:
+def request(stream: int, number: int, txn: int = 0) -> bytes:
     """A request for the object of this number."""
-    return order(stream, verb="grids", limit="6000", txn=f"{number:016x}", item=f"{number:016x}")
+    return order(stream, verb="grids", limit="6000", txn=f"{txn or number:016x}", item=f"{number:016x}")
 
 
 @asynccontextmanager
-async def scene(folder: Path) -> AsyncIterator[Scene]:
+async def scene(folder: Path, draining: bool = False) -> AsyncIterator[Scene]:
+    """The front among its stand-ins; `draining`: it is started with a list in which an endpoint drains."""
     discovery = Discovery()
 
     def prepare(here: World) -> None:
+        if draining:
+            here.config["known"] = {**here.config["known"], "seq": 2}
+            listed = {"index": 2, "snapshot": False, "endpoints": [here.line(DRAINING, status="leaving")]}
+            here.config["known"]["results"].append({"seq": 2, "fleet": listed})
+            discovery.tell(invalidate={"object": "f" * 16, "time": 1})  # event 2: known from the start
         here.discover, here.news = discovery.serve, discovery.news
         here.config["settings"]["grades"][0]["aim"] = PATIENT
 
@@ -107,34 +123,71 @@
     return at
 
 
+async def stand_still(its: Scene, tell: Callable[[], int]) -> tuple[float, list[int]]:
+    """Stop the front past the end of its poll, notify it, and have 20 clients ask before it goes on.
+
+    Returns: when it was notified, and how the requests ended.
+    """
+    here, discovery = its.here, its.discovery
+    callers: list[Caller] = [await here.call() for _ in range(20)]
+    for number, caller in enumerate(callers, 1):  # connections to the caches are up
+        await caller.send(request(1, number))
+        assert (await caller.next()).code == 1
+    await next_poll(discovery)
+    await anyio.sleep(1.0)
+    poll = discovery.polls[-1]
+    here.process.send_signal(signal.SIGSTOP)
+    while not stands_still(here.process.pid):
+        await anyio.sleep(0.001)
+    event = tell()
+    since = await notified(discovery, event)
+    await anyio.sleep(1.3)  # the poll's time runs out, and so does the grace
+    for number, caller in enumerate(callers, 1):
+        await caller.send(request(2, number, txn=number + 100))
+    assert poll.told == event and time.monotonic() - poll.asked_at > 2.0  # what was to cross did
+    here.process.send_signal(signal.SIGCONT)
+    codes = [(await caller.next()).code for caller in callers]
+    assert codes.count(1) > 10, codes
+    return since, codes
+
+
 async def test_a_drain_that_came_in_while_the_front_stood_still_past_its_poll_is_known_before_it_sends(
     tmp_path: Path,
 ) -> None:
     async with scene(tmp_path) as its:
-        here, discovery = its.here, its.discovery
-        callers: list[Caller] = [await here.call() for _ in range(20)]
-        for number, caller in enumerate(callers, 1):  # connections to the caches are up
-            await caller.send(request(1, number))
-            assert (await caller.next()).code == 1
+        since, _ = await stand_still(its, lambda: its.discovery.drain(its.here.line(DRAINING)))
         assert {name for _, name, _ in its.written} >= {DRAINING, "cache-2"}
-        await next_poll(discovery)
-        await anyio.sleep(1.0)
-        poll = discovery.polls[-1]
-        here.process.send_signal(signal.SIGSTOP)
-        while not stands_still(here.process.pid):
-            await anyio.sleep(0.001)
-        event = discovery.drain(here.line(DRAINING))
-        since = await notified(discovery, event)
-        await anyio.sleep(1.3)  # the poll's time runs out, and so does the grace
-        for number, caller in enumerate(callers, 100):
-            await caller.send(request(2, number))
-        assert poll.told == event and time.monotonic() - poll.asked_at > 2.0  # what was to cross did
-        here.process.send_signal(signal.SIGCONT)
-        codes = [(await caller.next()).code for caller in callers]
-        assert codes.count(1) > 10, codes
         assert its.late(since) == []
 
 
+async def test_a_drain_of_a_parent_that_came_in_the_same_way_is_known_before_a_fill_names_it(
+    tmp_path: Path,
+) -> None:
+    async with scene(tmp_path) as its:
+        its.lacking = True
+        since, _ = await stand_still(its, lambda: its.discovery.drain(its.here.line("parent-1")))
+        assert {source for _, _, source in its.written} >= {"parent-1", "origin-1"}
+        assert its.late(since, "parent-1") == []
+
+
+async def test_a_purge_that_came_in_the_same_way_bounds_the_age_of_what_is_sent_for(tmp_path: Path) -> None:
+    """The purge names the group that all requests of the test belong to."""
+    async with scene(tmp_path) as its:
+        await stand_still(its, its.purge)
+        after = {id: ages for id, ages in its.fresh.items() if int(id, 16) > 100}
+        assert len(after) > 10
+        assert all(0.0 < float(age) < 2000.0 for ages in after.values() for age in ages), after
+
+
+async def test_an_endpoint_that_drains_in_the_list_of_the_start_is_never_sent_to(tmp_path: Path) -> None:
+    async with scene(tmp_path, draining=True) as its, anyio.create_task_group() as tasks:
+        tasks.start_soon(its.ask, 0.005)
+        while its.served < 100:
+            await anyio.sleep(0.01)
+        assert its.late(0.0) == [] and {name for _, name, _ in its.written} == {"cache-2"}
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_drain_whose_answer_comes_just_after_a_poll_is_overdue_is_known_within_the_grace(
     tmp_path: Path,
 ) -> None:
