Two more time-outs that came before what lay unread: half-read frames and stalled clients

Checked for the class of the late drain (timers run before sockets after a stand-still). Seen failing: a frame whose rest lay unread ended its connection (Client._is_half), and a client that reads well was ended as stalled (Client.is_stalled). Both look first now: at unread input, and whether the socket takes bytes. Refuted by the same kind of test on the text before: an attempt's time-out with its answer unread, and a connection that came up in time. The router reads discovery when a message comes, once, and not for each way to handle it.

--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -259,6 +259,7 @@
             self._tasks = tasks
             while True:
                 message = await self._mailbox.take()
+                self.read_discovery()  # what it has told counts, however late this front comes to it
                 try:
                     self._handle(message)
                 except Exception as error:
@@ -266,7 +267,6 @@
                     say("actor.failed", error, kind=type(message).__name__)
 
     def _handle(self, message: Message) -> None:
-        self.read_discovery()  # what it has told counts, however late this front comes to it
         match message:
             case Taken():
                 self._taken(message)
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -92,6 +92,8 @@
 
     def is_stalled(self, longest: float) -> bool:
         """Tell whether it has left an answer half read for longer than that."""
+        if self._connection.is_stuck and self._connection.stuck_since < self._clock.now() - longest:
+            self._connection.write_on()  # this program may have stood still, and the client reads well
         return self._connection.is_stuck and self._connection.stuck_since < self._clock.now() - longest
 
     def is_overdue(self) -> bool:
@@ -107,7 +109,9 @@
         """Tell whether a frame has been half read for too long, and not for want of room here."""
         if self._connection.starved and self._half_since:
             self._half_since = self._clock.now()
-        return 0.0 < self._half_since < self._clock.now() - FIRST_WORD
+        # What lies unread may be its rest: after a stand-still of this program timers run first.
+        late = 0.0 < self._half_since < self._clock.now() - FIRST_WORD
+        return late and not self._connection.has_input()
 
     def end_half_frame(self) -> None:
         """Take no more from a client whose frame does not end; pulls open on it are still answered."""
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -117,6 +117,11 @@
         message.finish(False)
         return True
 
+    def write_on(self) -> None:
+        """Write what waits, as far as the socket takes it now."""
+        if not self.closed:
+            self._write()
+
     def _write(self) -> None:
         while self._out:
             message = self._out[0]
