--- a/cometseam/discovery/connection.py
+++ b/cometseam/discovery/connection.py
@@ -4,6 +4,7 @@
 never waits. So the front can take in what lies unread before it acts on what it knew.
 """
 
+import errno
 import json
 import socket
 
@@ -36,10 +37,12 @@
         """Wait until the connection has come up; OSError where it does not. Cancelled, it is to be closed."""
         try:
             self._socket.connect(self.address)
-        except BlockingIOError:
+        except BlockingIOError as error:
+            if error.errno != errno.EINPROGRESS:  # EAGAIN: no local port is free
+                raise
             await anyio.wait_writable(self._socket)
-        if error := self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            raise OSError(error, "not connected")
+        if failed := self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise OSError(failed, "not connected")
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     async def ask(self, target: str) -> None:
--- a/cometseam/events.py
+++ b/cometseam/events.py
@@ -104,6 +104,9 @@
     ),
     "peer.connection_failed": Known("ERROR", "{peer}: a connection failed", {"peer": str}),
     "peer.counters": Known("INFO", "peer ({why}): {peer} {ends}", {"why": str, "peer": str, "ends": dict}),
+    "peer.local_failure": Known(
+        "WARNING", "{peer}: no connection, for want of this machine: {why}", {"peer": str, "why": str}, True
+    ),
     "peer.message_failed": Known("ERROR", "{peer}: a message failed", {"peer": str}),
     "peer.not_connected": Known("DEBUG", "{peer}: not connected: {why}", {"peer": str, "why": str}),
     "peer.unusable": Known(
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -21,7 +21,7 @@
 from cometseam.transport.client import MOST_OPEN, Listener
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection import LINGER
-from cometseam.transport.peer import Surroundings
+from cometseam.transport.peer import SAMPLED_EVERY, Surroundings
 
 # By the protocol, after SIGTERM: new connections come for 400 ms and pulls on open ones for 200 ms more, by
 # clients' clocks; it is killed no sooner than 700 ms after the longest cut-off, of which 3 s count at most.
@@ -32,7 +32,6 @@
 UNSEEN = 20000  # objects made and not freed between two looks for cycles
 TURN = 10.0  # ms between two looks at what is still owed
 MOST_FAULTS = 50  # of a file that are logged
-SAMPLE = 50.0  # ms between two looks at the loop's lag
 
 
 async def run(config: Config, compiled: Compiled | None = None) -> None:
@@ -59,7 +58,7 @@
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
             if compiled is not None:
                 router.replan(compiled)
-            router.change(list(config.known))
+            router.change(list(config.known), is_news=False)
             for actor in (router.run, timers.run, discovery.run):
                 tasks.start_soon(actor)
             tasks.start_soon(listener.run, tasks)
@@ -219,11 +218,11 @@
     """Measure how late the loop comes to what is due, and have the module told."""
     while True:
         for _ in range(20):
-            due = clock.now() + SAMPLE
-            await anyio.sleep(SAMPLE / 1000.0)
+            due = clock.now() + SAMPLED_EVERY
+            await anyio.sleep(SAMPLED_EVERY / 1000.0)
             lag = clock.now() - due
             router.lag(lag)
             COUNTERS.see("loop_lag_ms", lag)
             COUNTERS.add("loop_lag.looks")
-            COUNTERS.add("loop_lag.over_a_tenth", int(lag > 0.1 * SAMPLE))
+            COUNTERS.add("loop_lag.over_a_tenth", int(lag > 0.1 * SAMPLED_EVERY))
         COUNTERS.sample()
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -34,8 +34,8 @@
 
 
 # ms after which a pull's client is looked at itself before anything is sent for the pull: nothing is sent on
-# later than 300 ms after its client has left, and what tells of that may lie unread while the front is late.
-LOOK_AFTER = 200.0
+# later than 100 ms after its client has left, and what tells of that may lie unread while the front is late.
+LOOK_AFTER = 50.0
 REMEMBERED = 256  # endpoints that drain or are gone, with the time of that, for the log
 
 
@@ -166,23 +166,28 @@
         if self._closing or self.owed >= self._most_open:
             COUNTERS.add("pull.no_room")
             return False
-        return self._mailbox.offer(Taken(client, stream, order, self._around.clock.now()))
+        # Its client counts from when it sent it: what lay there while the process stood still may be as old.
+        return self._mailbox.offer(Taken(client, stream, order, self._around.arrived_at()))
 
     def hang_up(self, client: Client, stream: int) -> None:
         """A client no longer waits; its pull, if it was not handled yet, comes first."""
         self._mailbox.push(Left(client, stream))
 
-    def change(self, changes: list[Change]) -> None:
-        """Act on events of discovery, in this turn: what is decided from now on goes by them."""
+    def change(self, changes: list[Change], is_news: bool = True) -> None:
+        """Act on events of discovery, in this turn: what is decided from now on goes by them.
+
+        `is_news`: they were told while the front ran; else they are those of its start.
+        """
         for change in changes:
             try:
-                self._change(change)
+                self._change(change, is_news)
             except Exception as error:  # the events behind it count all the same
                 COUNTERS.add("routing.exception")
                 say("actor.failed", error, kind=type(change).__name__)
 
     def lag(self, by: float) -> None:
         """The front comes so much later to what is due."""
+        self._around.sampled(by)
         self._mailbox.put_urgent(i.Lagged(by))  # told a few times a second
 
     def replan(self, compiled: Compiled) -> None:
@@ -354,17 +359,17 @@
             pull.client.errored(pull.stream)
             invariant(False, "an answer by the cut-off")
 
-    def _change(self, change: Change) -> None:
+    def _change(self, change: Change, is_news: bool) -> None:
         if isinstance(change, Purge):
             COUNTERS.add("changelog.purges")
-            self._decide(translate.purged(change, self._around.clock.now()))
+            self._decide(translate.purged(change, self._around.clock.now(), is_news))
             wanted, group = change.object, change.group
             self._reconsider(
                 lambda pull, _: pull.event.object == wanted if wanted else pull.event.group == group
             )
         elif isinstance(change, Listing):
             had = self._roster.starts()
-            members = self._roster.take(change)
+            members = self._roster.take(change, self._around.clock.now(), is_news)
             now = self._roster.starts()
             changed = {cache for cache in had if now.get(cache) != had[cache]}
             self._around.peers = len(self._roster)
--- a/cometseam/routing/translate.py
+++ b/cometseam/routing/translate.py
@@ -16,12 +16,24 @@
 }  # fmt: skip
 
 
+# ms: what discovery tells while the front runs happened no longer ago than that. Stamps are Unix times of
+# other machines; where this one's wall clock was wrong when the process started, an endpoint's start is so
+# believed to be later than it was (colder), and a purge too (more copies are too old): never the reverse.
+NEWS_AGE = 10_000.0
+
+
+def instant(stamp: float, now: float, is_news: bool) -> float:
+    """Return when something happened, on the scale of `now`, from the Unix time (ms) that its event gives."""
+    return max(min(stamp, now), now - NEWS_AGE) if is_news else min(stamp, now)
+
+
 class Roster:
     """The caches by number. It holds what the list holds: a cache that has gone leaves."""
 
     def __init__(self) -> None:
         self._lines: dict[int, Line] = {}
         self._numbers: dict[str, int] = {}
+        self._started: dict[int, tuple[float, float]] = {}  # by number: its start's stamp, and the instant
 
     def __len__(self) -> int:
         return len(self._lines)
@@ -61,8 +73,24 @@
                 return number
         return self._numbers[name]
 
-    def take(self, listing: Listing) -> i.Members:
-        """Take in a list, or its changes."""
+    def _start(self, number: int, stamp: float, now: float, is_news: bool) -> float:
+        """Return when a cache started (0: long ago); one start stays one instant, however often told."""
+        if stamp <= 0.0:
+            self._started.pop(number, None)
+            return 0.0
+        known = self._started.get(number)
+        if known is None or known[0] != stamp:
+            known = self._started[number] = (stamp, instant(stamp, now, is_news))
+        return known[1]
+
+    def take(self, listing: Listing, now: float, is_news: bool = True) -> i.Members:
+        """Take in a list, or its changes.
+
+        Args:
+            listing: what discovery told.
+            now: the clock's time.
+            is_news: it was told while the front ran, and is no list of the start.
+        """
         if listing.whole:
             self._lines.clear()
             self._numbers.clear()
@@ -72,17 +100,21 @@
             if line.lifecycle is i.Lifecycle.GONE:
                 self._lines.pop(number, None)
                 self._numbers.pop(line.name, None)
+                self._started.pop(number, None)
             else:
                 self._lines[number], self._numbers[line.name] = line, number
+            started = self._start(number, line.ready_at, now, is_news)
             entries.append(
-                i.Listed(number, line.lifecycle, line.ready_at, line.cell, line.zone, line.kind, line.weight)
+                i.Listed(number, line.lifecycle, started, line.cell, line.zone, line.kind, line.weight)
             )
+        if listing.whole:
+            self._started = {each: at for each, at in self._started.items() if each in self._lines}
         return i.Members(i.ListKind.FULL if listing.whole else i.ListKind.CHANGES, tuple(entries))
 
 
-def purged(purge: Purge, now: float) -> i.Purged:
+def purged(purge: Purge, now: float, is_news: bool = True) -> i.Purged:
     """Return a purge as an event."""
-    return i.Purged(purge.object, purge.group, max(now - purge.time, 0.0))
+    return i.Purged(purge.object, purge.group, now - instant(purge.time, now, is_news))
 
 
 def pull(number: int, order: Order, workload: int, left: float) -> i.Pull:
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -329,8 +329,11 @@
         try:
             sock, (address, *_) = self._sock.accept()
             client = Client(sock, self._pool, self._clock, self._pulls, address)
-        except (BlockingIOError, ConnectionAbortedError):
+        except BlockingIOError:
             return False
+        except (ConnectionAbortedError, InterruptedError):  # the next one may be waiting behind it
+            COUNTERS.add("client.aborted")
+            return None
         except OSError as error:
             COUNTERS.add("client.not_accepted")
             say("client.not_accepted", why=str(error))
--- a/cometseam/transport/clock.py
+++ b/cometseam/transport/clock.py
@@ -14,17 +14,22 @@
 
 
 class Clock:
-    """Unix time in milliseconds that never goes back."""
+    """Milliseconds of the monotonic clock, on a scale that agreed with Unix time when the process started.
 
-    def __init__(self) -> None:
-        self._last = 0.0
+    All spans are differences of `now`, so a step of the wall clock changes none. Unix time is read once; a
+    stamp of another machine is compared with `now` only in `routing.translate`, which says what is assumed.
+    """
+
+    def __init__(
+        self, monotonic: Callable[[], float] = time.monotonic, unix: Callable[[], float] = time.time
+    ) -> None:
+        """Read both clocks, which tell seconds."""
+        self._monotonic = monotonic
+        self._start = 1000.0 * (unix() - monotonic())
 
     def now(self) -> float:
-        """Tell the time."""
-        now = time.time() * 1000.0
-        if now > self._last:
-            self._last = now
-        return self._last
+        """Return the time in milliseconds; it never goes back."""
+        return self._start + 1000.0 * self._monotonic()
 
 
 class Timer:
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -15,6 +15,8 @@
 # ended: what comes unread to a closed socket makes the system send a reset, which can destroy answers already
 # written (RFC 9112, 9.6).
 LINGER, LINGER_BYTES = 1.0, 262144  # s; bytes: one message of the largest size
+# Errors of a call that say nothing of the connection: the same call is made again after a while.
+PASSING, CALL_AGAIN = frozenset({errno.EINTR, errno.EAGAIN, errno.ENOMEM, errno.ENOBUFS}), 0.01  # s
 CLOSE_WAIT = 8  # TCP_INFO's first byte: the other side has ended, also where unread input comes before that
 
 
@@ -51,6 +53,7 @@
         self.starved = False  # its reading waits for room of this program's own
         self._ends = anyio.Event()  # set when the write side is to end
         self._shut = self._heeds_end = False
+        self._is_short = False  # the system had no memory for a write: it is writable all the same
         self._passed_over = 0  # bytes read after that
 
     @property
@@ -77,10 +80,8 @@
         try:
             if not self._sock.recv(1, socket.MSG_PEEK):
                 return True
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        except OSError as error:
+            return error.errno not in PASSING
         try:
             return self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == CLOSE_WAIT
         except (OSError, IndexError, AttributeError):  # not told here: it shows when it is read
@@ -131,13 +132,14 @@
                 continue
             try:
                 sent = self._sock.sendmsg(message.parts)
-            except (BlockingIOError, InterruptedError):
+            except OSError as error:
+                if error.errno not in PASSING:
+                    self.close()
+                    return
+                self._is_short = error.errno in (errno.ENOMEM, errno.ENOBUFS)
                 if not self._stuck.is_set():
                     self._stuck.set()
                 return
-            except OSError:
-                self.close()
-                return
             self.stuck_since = self._wrote_at = self._clock.now()
             message.begun = True
             while message.parts and sent >= len(message.parts[0]):
@@ -225,10 +227,12 @@
                 # Its end may lie behind all that has come: it is seen before what was read has its turn.
                 # Guards against pulls sent on for clients who left while the front was late to read them.
                 at_once = self._heeds_end and not again and size < len(buffer)
-            except (BlockingIOError, InterruptedError):
+            except OSError as error:
+                if error.errno not in PASSING:
+                    return
+                if error.errno in (errno.ENOMEM, errno.ENOBUFS):
+                    await anyio.sleep(CALL_AGAIN)
                 continue
-            except OSError:
-                return
             finally:
                 self._pool.give_back([buffer])
 
@@ -249,6 +253,9 @@
             await self._stuck.wait()
             self._stuck = anyio.Event()
             try:
+                if self._is_short:
+                    self._is_short = False
+                    await anyio.sleep(CALL_AGAIN)
                 await anyio.wait_writable(self._sock)
             except (anyio.ClosedResourceError, ValueError, OSError):
                 return
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -1,5 +1,6 @@
 """One cache, parent or origin: an actor that sends it relays and tells how each ended."""
 
+import errno
 import socket
 from collections import Counter, OrderedDict
 from collections.abc import Callable
@@ -27,6 +28,11 @@
 from cometseam.transport.clock import Clock, Timer, Timers
 from cometseam.transport.connection import Connection, Outgoing, Part
 
+# ms by which the loop is late where the process has stood still; ms after that in which nothing new is
+# written, as what clients and discovery sent meanwhile (withdrawals, drains) is read first; and ms in which
+# a request that is read may have come while the process stood still.
+STAND_STILL, SETTLE, READ_UNTIL = 50.0, 8.0, 30.0
+SAMPLED_EVERY = 50.0  # ms between two measurements of the loop's lag
 PAST = 4  # times its streams: ids that a connection has done with and remembers, for answers that come again
 # Parts of the time that a connection may take to come up: a silence after which it is asked whether it works,
 # and how long it may take to say so.
@@ -36,6 +42,15 @@
 LAST_WORD = 2.0
 
 
+# Errors that tell of this machine's own want (descriptors, memory, ports, routes), not of the endpoint; and
+# after how many ms a connection is tried again then.
+LOCAL = frozenset({
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN,
+    errno.ENETUNREACH,
+})  # fmt: skip
+TRY_AGAIN = 20.0
+
+
 class How(StrEnum):
     """How a relay ended."""
 
@@ -102,6 +117,33 @@
     timers: Timers
     connections: int  # to peers, at most
     peers: int = 1  # listed
+    sampled_at: float = float("inf")  # when the loop's lag was last measured, a few times a second
+    resumed_at: float = float("-inf")  # when the process last went on after it had stood still, on `clock`
+    stood_for: float = 0.0  # ms that it may have stood still then
+
+    def sampled(self, lag: float) -> None:
+        """Take in by how many ms the loop came late to what was due."""
+        now = self.clock.now()
+        if lag > STAND_STILL and now >= self.resumed_at + READ_UNTIL:
+            self.resumed_at, self.stood_for = now, lag
+        self.sampled_at = now
+
+    def settles_at(self) -> float:
+        """Return until when nothing new is written, after the process has stood still."""
+        self._notice_stand_still()
+        return self.resumed_at + SETTLE
+
+    def arrived_at(self) -> float:
+        """Return the earliest time at which what is read now can have arrived."""
+        self._notice_stand_still()
+        now = self.clock.now()
+        return now - self.stood_for if now < self.resumed_at + READ_UNTIL else now
+
+    def _notice_stand_still(self) -> None:
+        """Look for a stand-still here as well: sockets may come before the timer of the next sample."""
+        now = self.clock.now()
+        if now - self.sampled_at > SAMPLED_EVERY + STAND_STILL:
+            self.resumed_at, self.stood_for, self.sampled_at = now, now - self.sampled_at, now
 
     @property
     def share(self) -> int:
@@ -149,10 +191,16 @@
         """Connect, and read answers until the connection ends."""
         try:
             sock = await self._connect()
+        except OSError as error:
+            if error.errno in LOCAL:
+                COUNTERS.add("peer.local_failure")
+                say("peer.local_failure", peer=self._peer.name, why=str(error))
+                self._peer.lost(self, came_up=False, locally=True)
+                return
+            self._not_connected(error)
+            return
         except Exception as error:  # whatever it is, no connection came up
-            COUNTERS.add("peer.not_connected")
-            say("peer.not_connected", peer=self._peer.name, why=str(error))
-            self._peer.lost(self, came_up=False)
+            self._not_connected(error)
             return
         COUNTERS.add("peer.connected")
         self.connection = Connection(sock, self._around.pool, self._around.clock)
@@ -172,6 +220,11 @@
                 self._watch.cancel()
             self._peer.lost(self, came_up=True)
 
+    def _not_connected(self, error: Exception) -> None:
+        COUNTERS.add("peer.not_connected")
+        say("peer.not_connected", peer=self._peer.name, why=str(error))
+        self._peer.lost(self, came_up=False)
+
     async def _connect(self) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
@@ -179,7 +232,9 @@
             with anyio.fail_after(self._around.links.connect_within / 1000.0):
                 try:
                     sock.connect(self._peer.address)
-                except BlockingIOError:
+                except BlockingIOError as error:
+                    if error.errno != errno.EINPROGRESS:  # EAGAIN: no local port is free
+                        raise
                     await anyio.wait_writable(sock)
                 if failed := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                     raise OSError(failed, "not connected")
@@ -271,16 +326,16 @@
         if self._watch is None:
             silence = SILENCE * self._around.links.connect_within
             self._watch = self._around.timers.at(now + silence, self._look)
-        size = sum(len(part) for part in ask.body)
-        head = write_request(ask.command, ask.due - now, size)
-        parts: list[Part] = [head, *ask.body, b"\r\n"] if size else [head + b"\r\n"]
+        parts: list[Part] = [self._head(ask, now), *ask.body, b"\r\n"]
 
         def written(whole: bool) -> None:
             ask.written_at = self._around.clock.now() if whole else 0.0
 
         def begin() -> bool:
             # It has waited behind others: what was learnt meanwhile counts, as at `Peer.place`.
-            if ask.may_begin(self._around.clock.now()):
+            now = self._around.clock.now()
+            if ask.may_begin(now) and ask.outgoing is not None:
+                ask.outgoing.parts[0] = self._head(ask, now)  # less time is left than when it was queued
                 return True
             self.asks.pop(ask.command.id, None)
             self._peer.end(ask, How.UNSENT)
@@ -289,6 +344,12 @@
         ask.begins()
         ask.outgoing = self.connection.send(parts, written, begin)
 
+    @staticmethod
+    def _head(ask: Ask, now: float) -> bytes:
+        """Return what comes before an attempt's body; its deadline is what is left as it is written."""
+        size = sum(len(part) for part in ask.body)
+        return write_request(ask.command, ask.due - now, size)
+
     def take_back(self, ask: Ask) -> bool:
         """Take a relay back, if nothing of it is written."""
         if ask.outgoing is None or self.connection is None or not self.connection.withdraw(ask.outgoing):
@@ -379,6 +440,7 @@
     _channels: list[Channel] = field(default_factory=list)
     _waiting: list[Ask] = field(default_factory=list)  # for a connection; each leaves by its own time-out
     _out: dict[int, Ask] = field(default_factory=dict)  # by pull
+    _settling: bool = False
     _tasks: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -426,6 +488,11 @@
         """Give what waits to connections; bring another up where all that are open are at work."""
         if not self._waiting:
             return
+        if self.around.clock.now() < self.around.settles_at():
+            if not self._settling:
+                self._settling = True
+                self.around.timers.at(self.around.settles_at(), self._settled)
+            return
         # A peer closes what is idle: what is written just then would be lost.
         links = self.around.links
         now = self.around.clock.now()
@@ -452,6 +519,10 @@
             else:
                 self._waiting.append(ask)
 
+    def _settled(self) -> None:
+        self._settling = False
+        self.place()
+
     def _choose(self, ask: Ask) -> tuple["Channel | None", tuple[bool, int], bool]:
         """Return the least busy connection that can take a relay, how busy, and whether one comes up."""
         best: Channel | None = None
@@ -470,8 +541,8 @@
         COUNTERS.see("peer.connections_each", len(self._channels))
         self._tasks.start_soon(channel.run)
 
-    def lost(self, channel: Channel, came_up: bool) -> None:
-        """A connection has ended or did not come up."""
+    def lost(self, channel: Channel, came_up: bool, locally: bool = False) -> None:
+        """A connection has ended or did not come up; `locally`: by no fault of the endpoint."""
         self._channels.remove(channel)
         asks, channel.asks = list(channel.asks.values()), {}
         for ask in asks:
@@ -484,6 +555,8 @@
                 self._waiting.append(ask)
         if came_up:
             self.place()
+        elif locally:  # what waits goes on waiting, to its own end
+            self.around.timers.at(self.around.clock.now() + TRY_AGAIN, self.place)
         elif not any(channel.is_usable() for channel in self._channels):
             for ask in list(self._waiting):
                 self.end(ask, How.UNCONNECTED)
