--- a/cometseam/discovery/schedule.py
+++ b/cometseam/discovery/schedule.py
@@ -96,7 +96,8 @@
         It does not where another connection polls well, or where discovery has moved.
         """
         self._gap, self._wait = self.terms.first_gap, self.terms.first_wait
-        self._begin_from = now
+        # One that answers at once with nothing, and ends each connection, must not keep the front busy.
+        self._begin_from = now + self.terms.first_wait
         answered = self._outstanding[number]
         others = [each for other, each in self._outstanding.items() if other != number and each.current]
         return answered.current and not any(now < self._overdue_at(each) for each in others)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -123,6 +123,7 @@
         if kind == "up" and number and since[number][1] is None:
             since[number] = (now, schedule.asked(number, now), since[number][2])
         elif kind == "answer" and number and since[number][1] is not None:
+            free_from = max(free_from, now + TERMS.first_wait)
             if schedule.answered(number, now):
                 since[number] = (now, schedule.asked(number, now), since[number][2])
             else:
@@ -252,6 +253,25 @@
         assert client.last == 2 and [change.seq for change in told] == [2]
 
 
+async def test_a_discovery_that_answers_at_once_with_nothing_and_ends_each_connection_is_polled_with_waits(
+    ) -> None:  # fmt: skip
+    """Guards against a front that is busy connecting; the earlier link waited 20 ms each time."""
+    came = 0
+
+    async def serve(stream: SocketStream) -> None:
+        nonlocal came
+        came += 1
+        await stream.receive()
+        text = json.dumps({"seq": 1, "results": []}).encode()
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n"
+        await stream.send(head % len(text) + text)
+        await stream.aclose()
+
+    async with following(serve):
+        await anyio.sleep(0.5)
+        assert 5 < came <= 26
+
+
 async def test_what_lies_unread_is_taken_without_a_turn_of_the_loop() -> None:
     """What a router does before it sends: the answer has come, and no task has been told so yet."""
     old = Discovery()
