--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -272,6 +272,34 @@
         assert 5 < came <= 26
 
 
+async def test_a_discovery_that_comes_back_is_asked_well_within_the_grace_of_a_drain() -> None:
+    """What the front would have been told, had it asked, counts as told: no wait of its own may use that up.
+
+    The wait between two tries grew to 500 ms, the grace itself, and a request went to a draining endpoint 0.55 s
+    after discovery could be asked again.
+    """
+    back = Discovery(ends=set(range(1, 10)))
+    async with following(back.serve) as (client, told, _):
+        event = back.drain(LINES[0])
+        await back.news.until(lambda: len(back.polls) == 9)
+        began = anyio.current_time()  # the ninth try ends now, and from now on each would be answered
+        while not told:
+            await anyio.sleep(0.001)
+        assert client.last == event and anyio.current_time() - began < 0.25
+
+
+async def test_a_discovery_that_answers_new_connections_is_heard_though_all_old_ones_stay_silent() -> None:
+    silent = Discovery(silent=set(range(1, 8)))
+    async with following(silent.serve) as (client, told, _):
+        event = silent.drain(LINES[0])
+        await silent.news.until(lambda: len(silent.polls) == 7)
+        began = anyio.current_time()
+        while not told:
+            await anyio.sleep(0.001)
+        assert client.last == event and anyio.current_time() - began < 0.4
+        assert silent.connections <= 9
+
+
 async def test_what_lies_unread_is_taken_without_a_turn_of_the_loop() -> None:
     """What a router does before it sends: the answer has come, and no task has been told so yet."""
     old = Discovery()
