No wait of the front's own uses up the grace: discovery that comes back is asked within 100 ms

Cause: the wait between two tries of discovery grew to 500 ms (LONGEST_WAIT, then PollTerms.longest_wait), as long as the grace of a drain; what discovery would have told, had it been asked, counts as told. So a front that waits when discovery comes back learns of a drain with nothing left of the grace. Ruled out: a request written after the drain was taken in (no attempt.after_drain in the tests that force it).

Change: waits and patience follow the settings' drainGrace, none over half of it: 20 to 100 ms after a failure, 250 ms between connections beside silent ones; the newest of four gives its place to the next, the older ones are read on.

--- a/cometseam/discovery/schedule.py
+++ b/cometseam/discovery/schedule.py
@@ -12,22 +12,35 @@
 class PollTerms:
     """Spans in milliseconds, and how many connections there may be.
 
-    With the defaults three connections in a row may fall silent, the two that replace the first among them,
-    and a fourth asks 3.5 s after the first did; a fifth does at 6.5 s. An answer may take up to `lost_after`.
+    What discovery would have told, had it been asked, counts as known; so every wait of the front's own is
+    well under the grace of a drain (`for_grace`). By default a silent connection is followed by another
+    after 2.0 s, and then by one each 250 ms, until one is answered.
     """
 
     hold: float = 1500.0  # how long discovery may keep a poll that it has nothing to tell
     quick_hold: float = 1.0  # the same of a poll that begins beside an overdue one: it is answered at once
     answer_patience: float = 500.0  # past its hold, an unanswered poll is overdue
-    connect_patience: float = 1000.0  # a connection that has not come up by then is overdue
+    quick_patience: float = 200.0  # the same of a poll that is to be answered at once
+    connect_patience: float = 200.0  # a connection that has not come up by then is overdue
     lost_after: float = 5000.0  # past its hold, an unanswered poll is given up
-    connect_lost_after: float = 3000.0  # a connection that has not come up by then is given up
-    first_gap: float = 500.0  # between two polls that begin since the last answer; it doubles
-    longest_gap: float = 1000.0
+    connect_lost_after: float = 1000.0  # a connection that has not come up by then is given up
+    gap: float = 250.0  # between two connections that begin beside each other
     first_wait: float = 20.0  # after a connection that failed, until another begins; it doubles
-    longest_wait: float = 500.0
+    longest_wait: float = 100.0
     most: int = 4  # connections at once
 
+    @classmethod
+    def for_grace(cls, grace: float) -> "PollTerms":
+        """Return the terms for a grace of drains in ms: no wait is over half of it."""
+        usual = cls()
+        patience = min(usual.quick_patience, 0.4 * grace)
+        return cls(
+            quick_patience=patience,
+            connect_patience=patience,
+            gap=min(usual.gap, 0.5 * grace),
+            longest_wait=max(min(usual.longest_wait, 0.2 * grace), usual.first_wait),
+        )
+
 
 @dataclass(slots=True)
 class Outstanding:
@@ -55,7 +68,7 @@
         self.terms = terms
         self._outstanding: dict[int, Outstanding] = {}
         self._begin_from = float("-inf")  # no connection begins before
-        self._gap, self._wait = terms.first_gap, terms.first_wait
+        self._wait = terms.first_wait
 
     def __len__(self) -> int:
         """Return how many connections there are."""
@@ -67,18 +80,23 @@
         live = [each for number, each in self._outstanding.items() if number not in lost]
         overdue_at = max((self._overdue_at(each) for each in live if each.current), default=now)
         begin_at = max(overdue_at, self._begin_from)
-        has_place = len(live) < self.terms.most
-        begin = has_place and begin_at <= now
-        times = [self._lost_at(each) for each in live]
-        if has_place and not begin:
+        begin = begin_at <= now
+        if begin and len(live) >= self.terms.most:
+            lost = (*lost, self._newest(lost))
+        times = [self._lost_at(each) for number, each in self._outstanding.items() if number not in lost]
+        if not begin:
             times.append(begin_at)
         return Check(begin, lost, min(times, default=now + self.terms.hold))
 
+    def _newest(self, lost: tuple[int, ...]) -> int:
+        """Return the connection that gives its place to another: older ones may still be answered."""
+        left = {number: each for number, each in self._outstanding.items() if number not in lost}
+        return max(left, key=lambda number: (left[number].current, left[number].since))
+
     def begun(self, number: int, now: float) -> None:
         """Take in that a connection begins to come up."""
         if any(each.current for each in self._outstanding.values()):
-            self._begin_from = now + self._gap
-            self._gap = min(2.0 * self._gap, self.terms.longest_gap)
+            self._begin_from = now + self.terms.gap
         self._outstanding[number] = Outstanding(now)
 
     def asked(self, number: int, now: float) -> float:
@@ -95,7 +113,7 @@
 
         It does not where another connection polls well, or where discovery has moved.
         """
-        self._gap, self._wait = self.terms.first_gap, self.terms.first_wait
+        self._wait = self.terms.first_wait
         # One that answers at once with nothing, and ends each connection, must not keep the front busy.
         self._begin_from = now + self.terms.first_wait
         answered = self._outstanding[number]
@@ -118,7 +136,7 @@
         Polls that are outstanding at the old one may still be answered. Returned are the connections that are
         to end: those with no poll yet, and the oldest where there would be no place for the new one.
         """
-        self._gap, self._wait, self._begin_from = self.terms.first_gap, self.terms.first_wait, now
+        self._wait, self._begin_from = self.terms.first_wait, now
         for each in self._outstanding.values():
             each.current = False
         ends = [number for number, each in self._outstanding.items() if each.hold is None]
@@ -130,7 +148,9 @@
     def _overdue_at(self, each: Outstanding) -> float:
         if each.hold is None:
             return each.since + self.terms.connect_patience
-        return each.since + each.hold + self.terms.answer_patience
+        is_quick = each.hold <= self.terms.quick_hold
+        patience = self.terms.quick_patience if is_quick else self.terms.answer_patience
+        return each.since + each.hold + patience
 
     def _lost_at(self, each: Outstanding) -> float:
         if each.hold is None:
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -10,7 +10,7 @@
 
 from cometseam.config import Config, read_config
 from cometseam.counters import COUNTERS, memory_taken
-from cometseam.discovery import DiscoveryClient
+from cometseam.discovery import DiscoveryClient, PollTerms
 from cometseam.events import say
 from cometseam.logic import Front
 from cometseam.operator import Compiled, Refused
@@ -47,7 +47,8 @@
     listener = Listener(config.listen, config.clients, pool, clock, router, config.links.connect_within)
     # Where buffers run short, a client that takes nothing for as long as a peer may take to connect goes.
     pool.on_short = lambda: listener.make_room(config.links.connect_within)
-    discovery = DiscoveryClient(config.changelog, config.last, config.names, router.change)
+    terms = PollTerms.for_grace(config.links.drain_grace)
+    discovery = DiscoveryClient(config.changelog, config.last, config.names, router.change, terms)
     router.read_discovery = discovery.read_now
     # What is there now stays, and pulls leave next to nothing in cycles: looking for those often is waste.
     gc.collect()
--- a/cometseam/settings.py
+++ b/cometseam/settings.py
@@ -31,6 +31,7 @@
     idle: float
     longest_cut_off: float  # of any workload: what is stuck for longer helps nobody
     answer_grace: float  # after a pull's cut-off in which its answer still counts
+    drain_grace: float = 500.0  # after word that an endpoint drains in which requests may still go to it
 
 
 def read_settings(info: Section) -> Settings:
@@ -108,4 +109,5 @@
         idle=ceilings.number("keepalive", low=1),
         longest_cut_off=max((grade.number("hardLimit") for grade in info.sections("grades")), default=0.0),
         answer_grace=info.section("safety").number("graceToAnswer", low=0),
+        drain_grace=info.section("safety").number("drainGrace", 500.0, low=1),
     )
