The fault proxy holds what goes to the target, not the answers that come back

Cause: the proxy held both directions; where an answer was on its way as the hold began, the owner waited for it and sent nothing that could be held. Change: only what goes to the target is held, as the test means; it prints owner and states where nothing is.

--- a/tests/standins/faults.py
+++ b/tests/standins/faults.py
@@ -23,13 +23,12 @@
     def __init__(self, upstream: int) -> None:
         self.upstream = upstream
         self.port = 0
-        self.hold = False  # bytes from either side wait here until it is False again
+        self.hold = False  # bytes towards upstream wait here until it is False again; answers pass
         self.drop_up = False  # bytes towards upstream are thrown away
         self.drop_down = False  # bytes towards the front are thrown away
         self.delay = 0.0  # s that each chunk is late, in either direction
         self.cut = False  # every connection is closed, and new ones are closed at once
-        self.held = 0  # bytes waiting now
-        self.held_up = 0  # of them, bytes towards upstream
+        self.held_up = 0  # bytes waiting now
         self.released = anyio.Event()
         self._streams: set[SocketStream] = set()
 
@@ -54,12 +53,10 @@
     ) -> None:
         try:
             async for chunk in source:
-                while self.hold:
-                    self.held += len(chunk)
-                    self.held_up += len(chunk) if up else 0
+                while self.hold and up:
+                    self.held_up += len(chunk)
                     await self.released.wait()
-                    self.held -= len(chunk)
-                    self.held_up -= len(chunk) if up else 0
+                    self.held_up -= len(chunk)
                 if self.delay:
                     await anyio.sleep(self.delay)
                 if self.cut:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -161,9 +161,11 @@
         assert first is not None
         link = here.links[first.name]
         link.set_hold(True)
-        with anyio.fail_after(5):
-            while link.held_up == 0:  # an effect of the owner is on its way (not an answer to one)
+        with anyio.move_on_after(5):
+            while link.held_up == 0:  # an effect of the owner is on its way
                 await anyio.sleep(0.005)
+        states = {name: lines[-3:] for name, lines in here.said.items()}
+        assert link.held_up, (first.name, owner_now(here.target.history), states)
         os.kill(here.fronts[first.name].pid, signal.SIGSTOP)
         await here.target.wait_for(
             lambda history: any(e.passed and e.token > first.token for e in history), 10 * TTL_MS / 1000
