--- a/cometseam/discovery/client.py
+++ b/cometseam/discovery/client.py
@@ -1,5 +1,6 @@
 """The client of discovery: polls over as many connections as `schedule` says, and hands on what they tell."""
 
+import errno
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
 from anyio.abc import TaskGroup
 
 from cometseam.counters import COUNTERS
+from cometseam.discovery.confirmation import Confirmation, ConfirmationTerms, Confirmed
 from cometseam.discovery.connection import DiscoveryConnection
 from cometseam.discovery.schedule import PollSchedule, PollTerms
 from cometseam.discovery.sequence import EventSequence
@@ -33,6 +35,7 @@
     began_at: float
     phase: str = "connecting"
     was_empty: bool = False  # the last answer told nothing
+    was_answered: bool = False  # at least once, over this connection
 
 
 def monotonic() -> float:
@@ -46,6 +49,7 @@
     def __init__(
         self, address: tuple[str, int], last: int, names: Names, hand_on: Callable[[list[Change]], None],
         terms: PollTerms | None = None, clock: Callable[[], float] = monotonic,
+        confirmation: ConfirmationTerms | None = None,
     ) -> None:  # fmt: skip
         """Begin after event `last`.
 
@@ -56,15 +60,19 @@
             hand_on: takes events; it must not wait.
             terms: spans and bounds; the defaults where there are none.
             clock: monotonic milliseconds.
+            confirmation: when what is known counts as confirmed; the defaults where there are none.
         """
         self._address, self._names, self._hand_on, self._clock = address, names, hand_on, clock
         self._sequence = EventSequence(last)
         self._schedule = PollSchedule(terms or PollTerms())
+        self._confirmation = Confirmation(confirmation or ConfirmationTerms(), clock())
+        self._sent_unconfirmed = 0  # attempts, since what is known was last confirmed
         self._polls: dict[int, Poll] = {}
         self._begun = 0
         self._changed = anyio.Event()  # something ended, was answered or moved: the schedule is looked at
         self._tasks: TaskGroup | None = None
         self._read_at = float("-inf")
+        self.notice_stand_still: Callable[[], None] = lambda: None  # calls `resumed` where there was one
         # Where one front reads discovery for all (`coordination.party`): whether this one rests, and who is
         # told of each poll that was answered, with its text.
         self.rests: Callable[[], bool] = lambda: False
@@ -97,6 +105,21 @@
         for poll in list(self._polls.values()):
             self._read(poll)
 
+    def confirmation_wait(self) -> float:
+        """Return for how many ms requests wait at most until discovery confirms what is known."""
+        return 0.0 if self.rests() else self._confirmation.wait(self._clock())
+
+    def attempt_written(self) -> float | None:
+        """Take in that an attempt is written; return for how many ms what is known was unconfirmed."""
+        unconfirmed_for = None if self.rests() else self._confirmation.unconfirmed_for(self._clock())
+        if unconfirmed_for is not None:
+            self._sent_unconfirmed += 1
+        return unconfirmed_for
+
+    def resumed(self, lasted: float) -> None:
+        """Take in that the process goes on after it has stood still for so many ms."""
+        self._confirmation.stood_still(self._clock(), lasted)
+
     def hear(self, text: bytes) -> bool:
         """Take in events that another front has read; return whether they go on from where this one is."""
         try:
@@ -170,14 +193,17 @@
         """Write the next poll; False where the connection is not to be used again."""
         if poll.number not in self._polls:
             return False
+        self.notice_stand_still()
         now = self._clock()
         hold = self._schedule.asked(poll.number, now)
+        self._confirmation.asked(poll.number, now, hold, is_watch=poll.was_answered)
         poll.phase, poll.began_at = "asked", now
         await poll.connection.ask(path(self.last, round(hold)))
         return True
 
     def _read(self, poll: Poll) -> None:
         """Read what has come on a connection; an answer is taken in at once."""
+        self.notice_stand_still()
         try:
             text = poll.connection.read()
             if text is not None:
@@ -192,6 +218,9 @@
         if fault:
             raise Malformed(fault)
         now = self._clock()
+        poll.was_answered = True
+        if confirmed := self._confirmation.answered(poll.number, now):
+            self._say_confirmed(confirmed)
         goes_on = self._schedule.answered(poll.number, now)
         self.polled(text)
         self._changed.set()
@@ -232,6 +261,8 @@
         now = self._clock()
         self._say_failed(error, poll.phase, now - poll.began_at)
         self._schedule.failed(poll.number, now)
+        if isinstance(error, ConnectionRefusedError) or getattr(error, "errno", 0) == errno.ECONNREFUSED:
+            self._confirmation.refused(now)
         self._forget(poll)
         poll.scope.cancel()
 
@@ -239,8 +270,14 @@
         kind, why = type(error).__name__, str(error)
         say("changelog.failed", kind=kind, why=why, phase=phase, waited=waited, since=self.last)
 
+    def _say_confirmed(self, confirmed: Confirmed) -> None:
+        sent, self._sent_unconfirmed = self._sent_unconfirmed, 0
+        COUNTERS.see("discovery.unconfirmed_ms", confirmed.lasted)
+        say("discovery.confirmed", cause=str(confirmed.cause), lasted=confirmed.lasted, sent=sent)
+
     def _forget(self, poll: Poll) -> None:
         if self._polls.pop(poll.number, None) is not None:
+            self._confirmation.ended(poll.number, self._clock())
             self._schedule.ended(poll.number)
             self._changed.set()
         poll.connection.close()
--- /dev/null
+++ b/cometseam/discovery/confirmation.py
@@ -0,0 +1,133 @@
+"""Whether discovery has confirmed what the front knows of endpoints and purges. No I/O.
+
+What discovery would have told, had it been asked, counts as known. So what the front knows is good only while
+a poll is outstanding, or was until a moment ago. Else it is unconfirmed: after a start, after the process has
+stood still, and where no connection has carried a poll for a while. An answer to a poll asked since confirms
+it. All times are milliseconds of a monotonic clock, which the caller passes in.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Cause(StrEnum):
+    """Why what is known is unconfirmed."""
+
+    START = "start"
+    STAND_STILL = "stand-still"
+    NOT_ASKED = "not asked"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmationTerms:
+    """Spans in milliseconds. Past the waits requests go out by what is known: discovery may be down."""
+
+    longest_gap: float = 250.0  # without a poll outstanding, past which what is known is unconfirmed
+    start_wait: float = 1000.0  # that requests wait for the first answer
+    gap_wait: float = 250.0  # that requests wait for an answer after a gap
+    refusals: int = 3  # connections refused in a row after which nothing is waited for
+
+    @classmethod
+    def for_grace(cls, grace: float) -> "ConfirmationTerms":
+        """Return the terms for a grace of drains in ms: a gap is at most half of it."""
+        usual = cls()
+        return cls(longest_gap=min(usual.longest_gap, 0.5 * grace))
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """What was known has been confirmed: why it was not before, and for how long (ms)."""
+
+    cause: Cause
+    lasted: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Unconfirmed:
+    cause: Cause
+    since: float
+    asked_from: float  # an answer to a poll asked from then on confirms
+    wait_until: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    at: float
+    until: float  # when discovery answers at the latest, if it is well
+    is_watch: bool  # held by discovery until something happens, on a connection that has been answered
+
+
+class Confirmation:
+    """Follows the polls of one front."""
+
+    def __init__(self, terms: ConfirmationTerms, now: float) -> None:
+        """Begin with a list of unknown age."""
+        self._terms = terms
+        self._asked: dict[int, _Asked] = {}
+        self._unasked_since = now  # while no watch is outstanding
+        self._refusals = 0
+        self._state: _Unconfirmed | None = _Unconfirmed(Cause.START, now, now, now + terms.start_wait)
+
+    def unconfirmed_for(self, now: float) -> float | None:
+        """Return for how long what is known has been unconfirmed; None where it is confirmed."""
+        self._look(now)
+        return None if self._state is None else now - self._state.since
+
+    def wait(self, now: float) -> float:
+        """Return for how long requests wait at most until discovery has answered; 0: they may go out."""
+        self._look(now)
+        return 0.0 if self._state is None else max(self._state.wait_until - now, 0.0)
+
+    def asked(self, number: int, now: float, hold: float, is_watch: bool) -> None:
+        """Take in that a poll is written on a connection."""
+        self._look(now)
+        self._asked[number] = _Asked(now, now + hold, is_watch and self._state is None)
+
+    def answered(self, number: int, now: float) -> Confirmed | None:
+        """Take in that a poll is answered; return what that has confirmed."""
+        self._look(now)
+        asked = self._asked.get(number)
+        self.ended(number, now)
+        self._refusals = 0
+        state = self._state
+        if asked is None or state is None or asked.at < state.asked_from:
+            return None
+        self._state, self._unasked_since = None, now
+        return Confirmed(state.cause, now - state.since)
+
+    def ended(self, number: int, now: float) -> None:
+        """Take in that a poll is answered, or that its connection has ended."""
+        asked = self._asked.pop(number, None)
+        if asked is not None and asked.is_watch and not self._is_watched():
+            self._unasked_since = now
+
+    def refused(self, now: float) -> None:
+        """Take in that discovery refuses connections: it tells nobody anything."""
+        self._refusals += 1
+        if self._state is not None and self._refusals >= self._terms.refusals:
+            state = self._state
+            self._state = _Unconfirmed(state.cause, state.since, state.asked_from, min(state.wait_until, now))
+
+    def stood_still(self, now: float, lasted: float) -> None:
+        """Take in that the process goes on after it has stood still for so long.
+
+        A poll that was outstanding all the while, and is not due yet, would have been answered.
+        """
+        if lasted <= self._terms.longest_gap or self._covers(now - lasted, now):
+            return
+        self._state = _Unconfirmed(Cause.STAND_STILL, now, now, now + self._terms.gap_wait)
+
+    def _covers(self, since: float, now: float) -> bool:
+        due_from = now - self._terms.longest_gap
+        watches = (each for each in self._asked.values() if each.is_watch)
+        return any(each.at <= since and each.until >= due_from for each in watches)
+
+    def _is_watched(self) -> bool:
+        return any(each.is_watch for each in self._asked.values())
+
+    def _look(self, now: float) -> None:
+        """Notice that no watch has been outstanding for too long."""
+        since = self._unasked_since + self._terms.longest_gap
+        if self._state is None and not self._is_watched() and now > since:
+            wait_until = since + self._terms.gap_wait
+            self._state = _Unconfirmed(Cause.NOT_ASKED, since, self._unasked_since, wait_until)
--- a/cometseam/events.py
+++ b/cometseam/events.py
@@ -34,6 +34,11 @@
         "request {request} is written to {endpoint} (source {source}), {after:.0f} ms after its drain",
         {"request": str, "endpoint": str, "source": str, "after": float}, True,
     ),
+    "attempt.unconfirmed": Known(
+        "WARNING",
+        "request {request} is written to {endpoint}; the list is unconfirmed for {lasted:.0f} ms",
+        {"request": str, "endpoint": str, "lasted": float}, True,
+    ),
     "changelog.applied": Known(
         "INFO", "the change log: event {seq}: {endpoints}; asked for {waited:.0f} ms before",
         {"seq": int, "endpoints": str, "waited": float},
@@ -57,6 +62,11 @@
         "WARNING", "configuration: {key}: has changed, which needs a restart", {"key": str}
     ),
     "config.read": Known("INFO", "configuration: read anew", {}),
+    "discovery.confirmed": Known(
+        "INFO",
+        "discovery confirms the list, unconfirmed for {lasted:.0f} ms ({cause}); {sent} attempts meanwhile",
+        {"cause": str, "lasted": float, "sent": int},
+    ),
     "fleet.heard": Known(
         "INFO", "fleet: {cache} heard {word} (token {token}, ruling {number})",
         {"cache": str, "word": str, "token": int, "number": int},
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -10,7 +10,7 @@
 
 from cometseam.config import Config, read_config
 from cometseam.counters import COUNTERS, memory_taken
-from cometseam.discovery import DiscoveryClient, PollTerms
+from cometseam.discovery import ConfirmationTerms, DiscoveryClient, PollTerms
 from cometseam.events import say
 from cometseam.logic import Front
 from cometseam.operator import Compiled, Refused
@@ -48,8 +48,12 @@
     # Where buffers run short, a client that takes nothing for as long as a peer may take to connect goes.
     pool.on_short = lambda: listener.make_room(config.links.connect_within)
     terms = PollTerms.for_grace(config.links.drain_grace)
-    discovery = DiscoveryClient(config.changelog, config.last, config.names, router.change, terms)
-    router.read_discovery = discovery.read_now
+    confirmation = ConfirmationTerms.for_grace(config.links.drain_grace)
+    discovery = DiscoveryClient(
+        config.changelog, config.last, config.names, router.change, terms, confirmation=confirmation
+    )
+    router.read_discovery, router.attempt_written = discovery.read_now, discovery.attempt_written
+    around.on_resume, discovery.notice_stand_still = discovery.resumed, around.notice_stand_still
     # What is there now stays, and pulls leave next to nothing in cycles: looking for those often is waste.
     gc.collect()
     gc.freeze()
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -138,6 +138,8 @@
         self._table: Table | None = None  # of the operator's routes; pulls that are open keep their plan
         self._listed = False
         self.read_discovery: Callable[[], None] = lambda: None  # takes in what lies unread, see `change`
+        # Told of each attempt that is written; for how long (ms) discovery has not confirmed the list, if so.
+        self.attempt_written: Callable[[], float | None] = lambda: None
         self._told_at: dict[int, float] = {}  # by cache that drains or is gone: when that was taken in
         self.draining = self._closing = False
         self._tracer = tracer if tracer is not None and tracer.mode is not Mode.OFF else None
@@ -481,7 +483,15 @@
             self._report(End(ask, How.UNSENT))
 
     def _audit(self, relay: i.Relay, request: str) -> None:
-        """Log a request written to an endpoint that drains or is gone, or that names one as its source."""
+        """Log a request written by a list that discovery has not confirmed, or against what is known.
+
+        The latter goes to an endpoint that drains or is gone, or names one as its source.
+        """
+        unconfirmed_for = self.attempt_written()
+        if unconfirmed_for is not None:
+            COUNTERS.add("attempt.unconfirmed")
+            endpoint = self._named(relay.cache)
+            say("attempt.unconfirmed", request=request, endpoint=endpoint, lasted=unconfirmed_for)
         late = [cache for cache in (relay.cache, relay.source) if not self._roster.ready(cache)]
         if late:
             COUNTERS.add("attempt.after_drain")
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -120,30 +120,36 @@
     sampled_at: float = float("inf")  # when the loop's lag was last measured, a few times a second
     resumed_at: float = float("-inf")  # when the process last went on after it had stood still, on `clock`
     stood_for: float = 0.0  # ms that it may have stood still then
+    on_resume: Callable[[float], None] = field(default=lambda lasted: None)  # told of each stand-still, in ms
 
     def sampled(self, lag: float) -> None:
         """Take in by how many ms the loop came late to what was due."""
         now = self.clock.now()
         if lag > STAND_STILL and now >= self.resumed_at + READ_UNTIL:
-            self.resumed_at, self.stood_for = now, lag
+            self._resume(now, lag)
         self.sampled_at = now
 
     def settles_at(self) -> float:
         """Return until when nothing new is written, after the process has stood still."""
-        self._notice_stand_still()
+        self.notice_stand_still()
         return self.resumed_at + SETTLE
 
     def arrived_at(self) -> float:
         """Return the earliest time at which what is read now can have arrived."""
-        self._notice_stand_still()
+        self.notice_stand_still()
         now = self.clock.now()
         return now - self.stood_for if now < self.resumed_at + READ_UNTIL else now
 
-    def _notice_stand_still(self) -> None:
+    def notice_stand_still(self) -> None:
         """Look for a stand-still here as well: sockets may come before the timer of the next sample."""
         now = self.clock.now()
         if now - self.sampled_at > SAMPLED_EVERY + STAND_STILL:
-            self.resumed_at, self.stood_for, self.sampled_at = now, now - self.sampled_at, now
+            lasted, self.sampled_at = now - self.sampled_at, now
+            self._resume(now, lasted)
+
+    def _resume(self, now: float, lasted: float) -> None:
+        self.resumed_at, self.stood_for = now, lasted
+        self.on_resume(lasted)
 
     @property
     def share(self) -> int:
