--- a/tests/drive.py
+++ b/tests/drive.py
@@ -5,7 +5,7 @@
 import signal
 import struct
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from copy import deepcopy
 from dataclasses import dataclass, field, replace
@@ -15,6 +15,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import Process, SocketAttribute, SocketStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 
@@ -266,6 +267,7 @@
         self.command = [sys.executable, "-m", "cometseam"]
         self.listens = b"listens"  # what the log says once it does
         self.discover = self.change_log  # answers polls of discovery
+        self.before_start: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
         self.process: Process
         self.path: Path
         self._tasks: TaskGroup
@@ -337,6 +339,7 @@
         await listener.aclose()
         self.path = path = folder / "config.json"
         path.write_text(json.dumps(self.config))
+        await self.before_start()  # what happens from here on is not in the list of the start
         self.process = await anyio.open_process(
             self.command, stderr=PIPE, env={**environ, "ROUTER_CONFIG": str(path), **self.environment},
         )  # fmt: skip
--- a/tests/test_late_drain.py
+++ b/tests/test_late_drain.py
@@ -14,7 +14,7 @@
 
 import signal
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -87,9 +87,19 @@
 
 
 @asynccontextmanager
-async def scene(folder: Path, draining: bool = False) -> AsyncIterator[Scene]:
-    """The front among its stand-ins; `draining`: it is started with a list in which an endpoint drains."""
-    discovery = Discovery()
+async def scene(
+    folder: Path, draining: bool = False, discovery: Discovery | None = None,
+    before_start: Callable[[World], Awaitable[None]] | None = None,
+) -> AsyncIterator[Scene]:  # fmt: skip
+    """The front among its stand-ins.
+
+    Args:
+        folder: for the front's configuration.
+        draining: whether it is started with a list in which an endpoint drains.
+        discovery: the stand-in for it; one that behaves well where there is none.
+        before_start: what happens after the front's configuration is written.
+    """
+    discovery = discovery or Discovery()
 
     def prepare(here: World) -> None:
         if draining:
@@ -98,6 +108,8 @@
             here.config["known"]["results"].append({"seq": 2, "fleet": listed})
             discovery.tell(invalidate={"object": "f" * 16, "time": 1})  # event 2: known from the start
         here.discover, here.news = discovery.serve, discovery.news
+        if before_start is not None:
+            here.before_start = lambda: before_start(here)
         here.config["settings"]["grades"][0]["aim"] = PATIENT
 
     start = world(folder, "cache-2", prepare=prepare, patience=30.0)
