Nothing is sent by a list of endpoints that discovery has not confirmed

Callers: a request went to an endpoint that drained, after the grace. What discovery would have told, had it been asked, counts as known.

Change: requests wait in the router's mailbox, and decided attempts at their endpoint, until a poll asked since is answered: 1 s at most at a start, 250 ms after a gap, not at all once discovery has refused three connections in a row. Until then the front is not ready. The first poll of each connection is answered at once, so a silent connection shows after 0.2 s, before after 2 s.

--- a/cometseam/discovery/client.py
+++ b/cometseam/discovery/client.py
@@ -195,7 +195,8 @@
             return False
         self.notice_stand_still()
         now = self._clock()
-        hold = self._schedule.asked(poll.number, now)
+        is_wanted = not poll.was_answered or self._confirmation.unconfirmed_for(now) is not None
+        hold = self._schedule.asked(poll.number, now, at_once=is_wanted)
         self._confirmation.asked(poll.number, now, hold, is_watch=poll.was_answered)
         poll.phase, poll.began_at = "asked", now
         await poll.connection.ask(path(self.last, round(hold)))
--- a/cometseam/discovery/schedule.py
+++ b/cometseam/discovery/schedule.py
@@ -99,12 +99,19 @@
             self._begin_from = now + self.terms.gap
         self._outstanding[number] = Outstanding(now)
 
-    def asked(self, number: int, now: float) -> float:
-        """Take in that a poll is written on a connection; return how long discovery may hold it."""
+    def asked(self, number: int, now: float, at_once: bool = False) -> float:
+        """Take in that a poll is written on a connection; return how long discovery may hold it.
+
+        Args:
+            number: the connection's.
+            now: the time.
+            at_once: the answer is wanted now, also where it tells nothing.
+        """
         outstanding = self._outstanding[number]
         is_first = outstanding.hold is None
         others = [each for other, each in self._outstanding.items() if other != number and each.current]
-        hold = self.terms.quick_hold if is_first and others else self.terms.hold
+        at_once = at_once or (is_first and bool(others))
+        hold = self.terms.quick_hold if at_once else self.terms.hold
         outstanding.since, outstanding.hold = now, hold
         return hold
 
--- a/cometseam/mailbox.py
+++ b/cometseam/mailbox.py
@@ -1,13 +1,14 @@
 """The mailbox of an actor: bounded, with a lane for what must not wait behind the rest."""
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import chain
 from typing import Generic, TypeVar
 
 import anyio
 
 Message = TypeVar("Message")
+ASK_AGAIN = 5.0  # ms
 
 
 class Mailbox(Generic[Message]):
@@ -43,11 +44,18 @@
         self._urgent.append(message)
         self._filled.set()
 
-    async def take(self) -> Message:
-        """Take the next message; wait while there is none."""
-        while not self:
+    async def take(self, plain_wait: Callable[[], float] = lambda: 0.0) -> Message:
+        """Take the next message; wait while there is none.
+
+        Args:
+            plain_wait: for how many ms plain messages wait at most; it is asked again every few ms.
+        """
+        while True:
+            if self._urgent:
+                return self._urgent.popleft()
+            wait = plain_wait() if self._plain else float("inf")
+            if not wait:
+                return self._plain.popleft()
             self._filled = anyio.Event()
-            await self._filled.wait()
-        if self._urgent:
-            return self._urgent.popleft()
-        return self._plain.popleft()
+            with anyio.move_on_after(min(wait, ASK_AGAIN) / 1000.0 if self._plain else None):
+                await self._filled.wait()
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -53,7 +53,8 @@
         config.changelog, config.last, config.names, router.change, terms, confirmation=confirmation
     )
     router.read_discovery, router.attempt_written = discovery.read_now, discovery.attempt_written
-    around.on_resume, discovery.notice_stand_still = discovery.resumed, around.notice_stand_still
+    around.confirmation_wait, around.on_resume = discovery.confirmation_wait, discovery.resumed
+    discovery.notice_stand_still = around.notice_stand_still
     # What is there now stays, and pulls leave next to nothing in cycles: looking for those often is waste.
     gc.collect()
     gc.freeze()
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -149,7 +149,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether it can serve."""
-        return self._listed and not self.draining
+        return self._listed and not self.draining and not self._around.confirmation_wait()
 
     @property
     def owed(self) -> int:
@@ -265,7 +265,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                message = await self._mailbox.take()
+                message = await self._mailbox.take(self._around.unconfirmed_wait)
                 self.read_discovery()  # what it has told counts, however late this front comes to it
                 try:
                     self._handle(message)
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -120,6 +120,8 @@
     sampled_at: float = float("inf")  # when the loop's lag was last measured, a few times a second
     resumed_at: float = float("-inf")  # when the process last went on after it had stood still, on `clock`
     stood_for: float = 0.0  # ms that it may have stood still then
+    # For how many ms requests wait at most until discovery has confirmed the list of endpoints; 0: none.
+    confirmation_wait: Callable[[], float] = field(default=lambda: 0.0)
     on_resume: Callable[[float], None] = field(default=lambda lasted: None)  # told of each stand-still, in ms
 
     def sampled(self, lag: float) -> None:
@@ -129,10 +131,19 @@
             self._resume(now, lag)
         self.sampled_at = now
 
-    def settles_at(self) -> float:
-        """Return until when nothing new is written, after the process has stood still."""
+    def write_wait(self) -> float:
+        """Return for how many ms nothing new is written at most; 0: it may be written.
+
+        After the process has stood still what lies unread is read first, and what is known of endpoints has
+        to be confirmed.
+        """
+        wait = self.unconfirmed_wait()
+        return max(self.resumed_at + SETTLE - self.clock.now(), wait, 0.0)
+
+    def unconfirmed_wait(self) -> float:
+        """Return for how many ms requests wait at most until what is known of endpoints is confirmed."""
         self.notice_stand_still()
-        return self.resumed_at + SETTLE
+        return self.confirmation_wait()
 
     def arrived_at(self) -> float:
         """Return the earliest time at which what is read now can have arrived."""
@@ -340,7 +351,8 @@
         def begin() -> bool:
             # It has waited behind others: what was learnt meanwhile counts, as at `Peer.place`.
             now = self._around.clock.now()
-            if ask.may_begin(now) and ask.outgoing is not None:
+            is_settled = not self._around.write_wait()
+            if is_settled and ask.may_begin(now) and ask.outgoing is not None:
                 ask.outgoing.parts[0] = self._head(ask, now)  # less time is left than when it was queued
                 return True
             self.asks.pop(ask.command.id, None)
@@ -494,10 +506,11 @@
         """Give what waits to connections; bring another up where all that are open are at work."""
         if not self._waiting:
             return
-        if self.around.clock.now() < self.around.settles_at():
+        if wait := self.around.write_wait():
             if not self._settling:
                 self._settling = True
-                self.around.timers.at(self.around.settles_at(), self._settled)
+                now = self.around.clock.now()
+                self.around.timers.at(now + min(wait, SETTLE), self._settled)
             return
         # A peer closes what is idle: what is written just then would be lost.
         links = self.around.links
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -30,6 +30,7 @@
     body = os.urandom(200_000)
     async with world(tmp_path) as here:
         caller = await here.call()
+        await here.logged(b"discovery confirms")
         await caller.send(frame(32, 7))
         assert await caller.next() == Got(33, 7, 1)
         for byte in order(1, body=b"as it is", got=TAG):
--- a/tests/test_unconfirmed_list.py
+++ b/tests/test_unconfirmed_list.py
@@ -4,6 +4,8 @@
 listened, and wrote what clients had sent meanwhile, before discovery had answered it once.
 """
 
+import json
+import signal
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -11,13 +13,15 @@
 import anyio
 import pytest
 
-from tests.drive import Caller, World
+from tests.drive import Caller, World, frame, world
 from tests.standins.discovery import Discovery
-from tests.test_late_drain import DRAINING, GRACE, Scene, notified, request, scene
+from tests.test_late_drain import DRAINING, GRACE, Scene, next_poll, notified, request, scene
+from tests.test_leaving import stands_still
 
 pytestmark = pytest.mark.anyio
 CLIENTS = 20
 ROUND_TRIP = 0.3  # s that discovery takes for an answer
+READY, READINESS = 32, 33
 
 
 @pytest.fixture
@@ -59,3 +63,61 @@
         assert await served(callers) == CLIENTS
         assert asked_at < await notified(discovery, 2)  # what was to cross did
         assert its.late(0.0) == [] and {name for _, name, _ in its.written} == {"cache-2"}
+
+
+async def test_a_front_is_ready_when_discovery_has_answered_and_not_before(tmp_path: Path) -> None:
+    discovery = Discovery(delay=ROUND_TRIP)
+    async with scene(tmp_path, discovery=discovery) as its:
+        caller = await its.here.call()
+        await caller.send(frame(READY, 1))
+        before = await caller.next()
+        assert discovery.notified_at(1) is None and not discovery.polls[0].answered_at
+        assert (before.type, before.code != 1) == (READINESS, True)
+        await discovery.news.until(lambda: discovery.polls[0].answered_at)
+        await its.here.logged(b"discovery confirms")
+        await caller.send(frame(READY, 2))
+        assert (await caller.next()).code == 1
+
+
+async def test_a_front_serves_by_the_list_of_its_start_where_discovery_refuses_connections(
+    tmp_path: Path,
+) -> None:
+    def prepare(here: World) -> None:
+        async def closed() -> None:
+            here.config["changelog"] = "127.0.0.1:9"  # nobody listens there
+            here.path.write_text(json.dumps(here.config))
+
+        here.before_start = closed
+
+    async with world(tmp_path, "cache-2", prepare=prepare) as here:
+        caller, began = await here.call(), time.monotonic()
+        code = 0
+        while code != 1:
+            await caller.send(frame(READY, 1))
+            code = (await caller.next()).code
+            await anyio.sleep(0.01)
+        assert time.monotonic() - began < 0.5
+
+
+async def test_a_front_that_stood_still_past_its_poll_sends_nothing_before_discovery_has_answered(
+    tmp_path: Path,
+) -> None:
+    """The poll was answered with nothing while the front stood still; the endpoint drained after that."""
+    async with scene(tmp_path) as its:
+        discovery = its.discovery
+        assert await served(await ask_at_once(its)) == CLIENTS
+        await next_poll(discovery)
+        poll = discovery.polls[-1]
+        its.here.process.send_signal(signal.SIGSTOP)
+        while not stands_still(its.here.process.pid):
+            await anyio.sleep(0.001)
+        await discovery.news.until(lambda: poll.answered_at)
+        discovery.delay = ROUND_TRIP / 2
+        discovery.drain(its.here.line(DRAINING))
+        drained_at = time.monotonic()
+        callers = await ask_at_once(its, 2)
+        await anyio.sleep(GRACE + 0.05)
+        its.here.process.send_signal(signal.SIGCONT)
+        assert poll.told == 1  # what was to cross did
+        assert await served(callers) == CLIENTS
+        assert its.late(drained_at + GRACE) == []
