--- a/cometseam/discovery/client.py
+++ b/cometseam/discovery/client.py
@@ -88,6 +88,7 @@
         if address == self._address:
             return
         self._address = address
+        self._confirmation.moved(self._clock())
         for number in self._schedule.moved(self._clock()):
             self._give_up(number, "discovery has another address")
         self._changed.set()
--- a/cometseam/discovery/confirmation.py
+++ b/cometseam/discovery/confirmation.py
@@ -108,6 +108,12 @@
             state = self._state
             self._state = _Unconfirmed(state.cause, state.since, state.asked_from, min(state.wait_until, now))
 
+    def moved(self, now: float) -> None:
+        """Take in that discovery has another address: polls outstanding at the old one show nothing of it."""
+        self._look(now)
+        self._asked.clear()
+        self._unasked_since = now
+
     def stood_still(self, now: float, lasted: float) -> None:
         """Take in that the process goes on after it has stood still for so long.
 
--- a/tests/test_unconfirmed_list.py
+++ b/tests/test_unconfirmed_list.py
@@ -13,7 +13,8 @@
 import anyio
 import pytest
 
-from cometseam.discovery import EventSequence
+from cometseam.discovery import Confirmation, ConfirmationTerms, EventSequence
+from cometseam.discovery.confirmation import Cause
 from cometseam.interface import Lifecycle
 from cometseam.protocol.changelog import Change, Line, Listing, Purge, Unusable
 from tests.drive import Caller, World, frame, world
@@ -162,3 +163,64 @@
         await anyio.sleep(1.5)
         assert its.late(since + GRACE) == []
         tasks.cancel_scope.cancel()
+
+
+TERMS = ConfirmationTerms()
+
+
+def watched(since: float = 0.0) -> Confirmation:
+    """A front that discovery has answered, with a poll outstanding since then."""
+    confirmation = Confirmation(TERMS, since)
+    confirmation.asked(1, since, 1.0, is_watch=False)
+    assert confirmation.answered(1, since) is not None
+    confirmation.asked(1, since, 1500.0, is_watch=True)
+    return confirmation
+
+
+def test_a_start_waits_for_an_answer_to_a_poll_of_its_own_to_a_bound() -> None:
+    confirmation = Confirmation(TERMS, 100.0)
+    assert confirmation.wait(100.0) == TERMS.start_wait and confirmation.wait(2000.0) == 0.0
+    assert confirmation.unconfirmed_for(2000.0) == 1900.0
+    confirmation.asked(1, 2000.0, 1.0, is_watch=False)
+    confirmed = confirmation.answered(1, 2005.0)
+    assert confirmed is not None and (confirmed.cause, confirmed.lasted) == (Cause.START, 1905.0)
+    assert confirmation.unconfirmed_for(2005.0) is None
+
+
+def test_connections_that_are_refused_end_the_wait_and_an_answer_between_counts_anew() -> None:
+    confirmation = Confirmation(TERMS, 0.0)
+    for at in (1.0, 20.0):
+        confirmation.refused(at)
+    assert confirmation.wait(20.0) > 0.0
+    confirmation.refused(60.0)
+    assert confirmation.wait(60.0) == 0.0
+
+
+def test_what_is_known_is_unconfirmed_where_no_poll_is_outstanding_for_a_while() -> None:
+    confirmation = watched()
+    assert confirmation.unconfirmed_for(5000.0) is None  # it is outstanding, however late
+    confirmation.ended(1, 5000.0)
+    assert confirmation.unconfirmed_for(5000.0 + TERMS.longest_gap) is None
+    assert confirmation.wait(5001.0 + TERMS.longest_gap) == TERMS.gap_wait - 1.0
+    confirmation.asked(2, 5300.0, 1.0, is_watch=False)
+    confirmed = confirmation.answered(2, 5310.0)
+    assert confirmed is not None and confirmed.cause is Cause.NOT_ASKED
+
+
+def test_a_stand_still_within_a_poll_leaves_what_is_known_confirmed_and_one_past_it_does_not() -> None:
+    within, past, short = watched(), watched(), watched()
+    within.stood_still(1400.0, 1300.0)
+    past.stood_still(2400.0, 2300.0)
+    short.stood_still(2400.0, TERMS.longest_gap)
+    assert (within.wait(1400.0), past.wait(2400.0), short.wait(2400.0)) == (0.0, TERMS.gap_wait, 0.0)
+    assert past.answered(1, 2401.0) is None  # asked before: it tells nothing of what came after its time
+    past.asked(1, 2401.0, 1.0, is_watch=True)
+    assert past.answered(1, 2402.0) is not None
+
+
+def test_after_a_move_polls_at_the_old_address_confirm_nothing() -> None:
+    confirmation = watched()
+    confirmation.moved(1000.0)
+    late = 1001.0 + TERMS.longest_gap
+    assert confirmation.unconfirmed_for(late) is not None
+    assert confirmation.answered(1, late) is None and confirmation.unconfirmed_for(late) is not None
