--- a/cometseam/cli/main.py
+++ b/cometseam/cli/main.py
@@ -11,6 +11,7 @@
 from cometseam.cli.levels import app as levels_app
 from cometseam.cli.loading import Against, AsJson, File, load_file, settings_of, unusable, write_sealed
 from cometseam.cli.show import explained, rendered
+from cometseam.cli.soak import soak
 from cometseam.config import FORM_VARIABLE, OPERATOR_VARIABLE
 from cometseam.timing.table import Sight, whole_address, whole_size
 
@@ -20,6 +21,7 @@
 )  # fmt: skip
 
 app.add_typer(levels_app, name="levels")
+app.command()(soak)
 
 
 class Form(StrEnum):
--- /dev/null
+++ b/cometseam/cli/soak.py
@@ -0,0 +1,71 @@
+"""The command `cometseam soak`: seeded faults on real fronts, judged by the rules of the service."""
+
+import json
+from pathlib import Path
+from typing import Annotated, Any
+
+import anyio
+import anyio.to_process
+import typer
+
+from cometseam.soak import Outcome, SoakTerms, run_seed
+
+SAMPLE = Path(__file__).parents[2] / "deploy" / "sample.json"
+SHOWN = 5  # violations of a seed that are printed
+
+
+def soak(
+    seed: Annotated[int, typer.Option(help="The first seed.")] = 1,
+    count: Annotated[int, typer.Option(min=1, help="How many seeds, one after the other.")] = 1,
+    beside: Annotated[int, typer.Option(min=1, help="How many of them run at once.")] = 1,
+    seconds: Annotated[float, typer.Option(min=1.0, help="How long faults come, of each seed.")] = 12.0,
+    fronts: Annotated[int, typer.Option(min=1, help="Processes of fronts.")] = 3,
+    config: Annotated[Path, typer.Option(help="A front's configuration, whose settings are kept.")] = SAMPLE,
+    out: Annotated[Path, typer.Option(help="Where timelines and logs go.")] = Path("soak-out"),
+) -> None:
+    """Run real fronts among stand-ins under faults drawn from a seed, and check every rule over the history.
+
+    Loopback only. Status 1 where a rule was broken; each failing seed is printed with what replays it.
+    """
+    given = json.loads(config.read_text())
+    terms = SoakTerms(seconds=seconds, fronts=fronts)
+    outcomes: list[Outcome] = []
+
+    async def run_all() -> None:
+        left = iter(range(seed, seed + count))
+
+        async def worker() -> None:
+            for each in left:
+                arguments = (each, terms, given, out / str(each))
+                outcome = await anyio.to_process.run_sync(_run, *arguments, cancellable=True)
+                outcomes.append(outcome)
+                _print(outcome, seconds, fronts)
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(min(beside, count)):
+                tasks.start_soon(worker)
+
+    anyio.run(run_all)
+    failed = sum(bool(outcome.violations) for outcome in outcomes)
+    print(f"{count - failed} seeds passed, {failed} failed")
+    raise typer.Exit(1 if failed else 0)
+
+
+def _run(seed: int, terms: SoakTerms, config: dict[str, Any], folder: Path) -> Outcome:
+    """Run one seed in a process of its own: its stand-ins must not come late for another's."""
+    return anyio.run(run_seed, seed, terms, config, folder)
+
+
+def _print(outcome: Outcome, seconds: float, fronts: int) -> None:
+    faults = " ".join(f"{kind}={times}" for kind, times in sorted(outcome.acted.items()))
+    named = enumerate(("served", "shed", "failed"), 1)
+    codes = " ".join(f"{name}={outcome.codes[code]}" for code, name in named)
+    lag = f"own lag {outcome.lag * 1000.0:.0f} ms"
+    verdict = f"{len(outcome.violations)} violations" if outcome.violations else "passed"
+    print(f"seed {outcome.seed}: {verdict}; {codes}; {lag}; {faults}", flush=True)
+    for violation in outcome.violations[:SHOWN]:
+        print(f"  {violation.rule}: {violation.what}")
+    if outcome.violations:
+        print(f"  timeline: {outcome.timeline}")
+        again = f"--seed {outcome.seed} --seconds {seconds:g} --fronts {fronts}"
+        print(f"  replay: cometseam soak {again}", flush=True)
--- /dev/null
+++ b/cometseam/soak/plan.py
@@ -0,0 +1,97 @@
+"""What happens in a soak, drawn from its seed: faults, their targets and their times. No I/O."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+
+class Kind(StrEnum):
+    """A kind of fault."""
+
+    DRAIN = "drain"  # an endpoint begins to drain, and is removed later
+    PURGE = "purge"  # a group of objects
+    RESTART = "restart"  # SIGTERM; SIGKILL at the page's earliest; a start with the list of before
+    KILL = "kill"  # SIGKILL; a start with the list of before
+    PAUSE = "pause"  # SIGSTOP, then SIGCONT
+    RELOAD = "reload"  # SIGHUP, a few in series
+    DISCOVERY_SILENT = "discovery-silent"  # outstanding polls, and those on their connections, go unanswered
+    DISCOVERY_SLOW = "discovery-slow"  # each answer is late
+    DISCOVERY_DOWN = "discovery-down"  # connections end, new ones are refused
+    CROWD = "crowd"  # idle connections of clients
+    HANG = "hang"  # an endpoint answers nothing
+    RESET = "reset"  # an endpoint's connections are reset
+    LEAVE = "leave"  # clients close their connections with requests open
+
+
+# How often a kind comes, against the others.
+WEIGHTS = {
+    Kind.DRAIN: 5.0, Kind.PURGE: 3.0, Kind.RESTART: 2.0, Kind.KILL: 3.0, Kind.PAUSE: 3.0, Kind.RELOAD: 1.0,
+    Kind.DISCOVERY_SILENT: 2.0, Kind.DISCOVERY_SLOW: 2.0, Kind.DISCOVERY_DOWN: 1.5, Kind.CROWD: 1.0,
+    Kind.HANG: 1.5, Kind.RESET: 2.0, Kind.LEAVE: 2.0,
+}  # fmt: skip
+# Shortest and longest duration in seconds, of kinds that last.
+LASTS = {
+    Kind.DRAIN: (1.0, 4.0), Kind.KILL: (0.1, 1.2), Kind.RESTART: (0.0, 0.5), Kind.PAUSE: (0.1, 2.5),
+    Kind.DISCOVERY_SILENT: (0.5, 3.0), Kind.DISCOVERY_SLOW: (1.0, 4.0), Kind.DISCOVERY_DOWN: (0.2, 3.0),
+    Kind.CROWD: (1.0, 3.0), Kind.HANG: (0.3, 2.0),
+}  # fmt: skip
+TOGETHER = 0.35  # share of faults that begin within `TOGETHER_WITHIN` of the one before
+TOGETHER_WITHIN = 0.6  # s
+# What may come with a fault, to the same front: a drain under a stopped process, a start in slow discovery.
+COMPANIONS = {
+    Kind.KILL: (Kind.DRAIN, Kind.DISCOVERY_SLOW, Kind.DISCOVERY_SILENT, Kind.DISCOVERY_DOWN, Kind.PURGE),
+    Kind.RESTART: (Kind.DRAIN, Kind.DISCOVERY_SLOW, Kind.HANG, Kind.RELOAD),
+    Kind.PAUSE: (Kind.DRAIN, Kind.PURGE, Kind.LEAVE, Kind.DISCOVERY_SLOW),
+    Kind.DISCOVERY_DOWN: (Kind.DRAIN, Kind.RELOAD),
+    Kind.DISCOVERY_SLOW: (Kind.DRAIN, Kind.PURGE),
+    Kind.DRAIN: (Kind.RESET, Kind.RELOAD),
+}  # fmt: skip
+COMPANION = 0.6  # the chance of each
+COMPANION_WITHIN = 0.5  # s
+
+
+@dataclass(frozen=True, slots=True)
+class SoakTerms:
+    """How large a soak is; seconds, counts, requests a second of each client."""
+
+    seconds: float = 12.0
+    fronts: int = 3
+    endpoints: int = 5
+    clients: int = 4  # of each front
+    rate: float = 8.0
+    faults_per_second: float = 0.6
+    longest_deadline: float = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault: when (s from the beginning), what, to which front or endpoint, for how long (s)."""
+
+    at: float
+    kind: Kind
+    target: int
+    lasts: float
+    strength: float  # in 0..1: a kind's own measure, as the delay of a slow discovery
+
+
+def draw(seed: int, terms: SoakTerms) -> tuple[Fault, ...]:
+    """Return the faults of a seed, in order of time."""
+    chance = Random(seed)
+    faults: list[Fault] = []
+    at = 0.5
+    while at < terms.seconds:
+        kind = chance.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        shortest, longest = LASTS.get(kind, (0.0, 0.0))
+        target = chance.randrange(terms.fronts * terms.endpoints)
+        faults.append(Fault(at, kind, target, chance.uniform(shortest, longest), chance.random()))
+        for companion in COMPANIONS.get(kind, ()):
+            if chance.random() < COMPANION:
+                later = at + chance.uniform(0.0, COMPANION_WITHIN)
+                shortest, longest = LASTS.get(companion, (0.0, 0.0))
+                lasts = chance.uniform(shortest, longest)
+                faults.append(Fault(later, companion, target, lasts, chance.random()))
+        if chance.random() < TOGETHER:
+            at += chance.uniform(0.0, TOGETHER_WITHIN)
+        else:
+            at += chance.expovariate(terms.faults_per_second)
+    return tuple(sorted(faults, key=lambda fault: fault.at))
--- /dev/null
+++ b/cometseam/soak/process.py
@@ -0,0 +1,121 @@
+"""One front as a process: started with the list of before, signalled, and recorded."""
+
+import json
+import signal
+import time
+from collections.abc import Mapping
+from copy import deepcopy
+from pathlib import Path
+from subprocess import DEVNULL
+from typing import Any
+
+import anyio
+from anyio.abc import Process
+
+from cometseam.soak.clients import Target
+from cometseam.soak.discovery import Discovery, EventLog
+from cometseam.soak.history import Ended, History, Sampled, Started
+
+EARLIEST_KILL = 0.7  # s past the longest deadline, after SIGTERM
+LONGEST_DEADLINE = 3.0  # s that count of it
+SAMPLE_EVERY = 0.25  # s
+
+
+class Front:
+    """A front's process over its lives."""
+
+    def __init__(
+        self, target: Target, discovery: Discovery, log: EventLog, config: dict[str, Any], folder: Path,
+        command: list[str], environment: Mapping[str, str],
+    ) -> None:  # fmt: skip
+        self.target, self.discovery = target, discovery
+        self.is_running = False
+        self.is_busy = False  # a fault has it in hand
+        self._log, self._config = log, deepcopy(config)
+        self._path = folder / f"front-{target.number}.json"
+        self._output = folder / f"front-{target.number}.log"
+        self._output.unlink(missing_ok=True)
+        self._command, self._environment = command, dict(environment)
+        self._process: Process
+        self._asked_at = 0.0
+
+    @property
+    def name(self) -> str:
+        """Return what its history calls it."""
+        return f"front-{self.target.number}"
+
+    @property
+    def longest_deadline(self) -> float:
+        """Return the longest deadline of its classes in seconds."""
+        return max(float(grade["hardLimit"]) for grade in self._config["settings"]["grades"]) / 1000.0
+
+    def write_config(self) -> int:
+        """Write its configuration as things are now; return the number of the last event in it."""
+        host, port = self.target.address
+        self._config.update(name=self.name, listen=f"{host}:{port}")
+        self._config["changelog"] = f"127.0.0.1:{self.discovery.port}"
+        self._config["known"] = {"seq": 1, "results": self._log.whole()}
+        self._path.write_text(json.dumps(self._config))
+        return len(self._log.events)
+
+    async def start(self, base: int) -> None:
+        """Start it with the configuration as it was written, at the event `base`."""
+        self.target.life += 1
+        self.discovery.life, self.discovery.base, self._asked_at = self.target.life, base, 0.0
+        with self._output.open("ab") as output:
+            self._process = await anyio.open_process(
+                self._command, stdin=DEVNULL, stdout=output, stderr=output,
+                env={**self._environment, "ROUTER_CONFIG": str(self._path)},
+            )  # fmt: skip
+        self.is_running = True
+        self._history.add(Started(time.monotonic(), self.target.number, self.target.life, base))
+
+    @property
+    def _history(self) -> History:
+        return self._log.history
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        if self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End it by SIGKILL."""
+        self.is_running = False
+        self.signal(signal.SIGKILL)
+        await self._wait(killed=True)
+
+    async def terminate(self) -> None:
+        """End it by SIGTERM, and by SIGKILL at the page's earliest."""
+        self.is_running = False
+        self._asked_at = time.monotonic()
+        self.signal(signal.SIGTERM)
+        with anyio.move_on_after(min(self.longest_deadline, LONGEST_DEADLINE) + EARLIEST_KILL) as scope:
+            await self._process.wait()
+        if scope.cancelled_caught:
+            self.signal(signal.SIGKILL)
+        await self._wait(killed=scope.cancelled_caught)
+
+    async def _wait(self, killed: bool) -> None:
+        status = await self._process.wait()
+        target, now = self.target, time.monotonic()
+        self._history.add(Ended(now, target.number, target.life, status, self._asked_at, killed))
+
+    async def watch(self) -> None:
+        """Sample what it holds, and record an end that nobody asked for, until cancelled."""
+        while True:
+            await anyio.sleep(SAMPLE_EVERY)
+            if not self.is_running:
+                continue
+            if self._process.returncode is not None:
+                self.is_running = False
+                await self._wait(killed=False)
+                continue
+            try:
+                folder = Path(f"/proc/{self._process.pid}")
+                descriptors = len(list((folder / "fd").iterdir()))
+                pages = int((folder / "statm").read_text().split()[1])
+            except (OSError, IndexError):
+                continue
+            sample = Sampled(time.monotonic(), self.target.number, descriptors, pages * 4096 / (1 << 20))
+            self._history.add(sample)
