A signal that comes while a front starts does not end it, and a new configuration is not missed

Callers: a front that got SIGHUP or SIGUSR1 in its start was gone. Cause: the signals had their default action until the signal receiver was opened, after the socket was bound. They are held from the first line of the program and acted on once it serves; the receiver is open before anything listens, so SIGTERM ends no front that has taken a connection without its answer.

--- a/cometseam/__main__.py
+++ b/cometseam/__main__.py
@@ -2,12 +2,15 @@
 
 import sys
 
-from cometseam.serving import serve
+from cometseam import startup_signals
 
 
 def main() -> int:
     """Serve; the command line is imported only where there is one, since serving needs none of it."""
     if len(sys.argv) == 1:
+        startup_signals.hold()
+        from cometseam.serving import serve  # takes a while, in which signals may come
+
         return serve()
     from cometseam.cli import run_commands
 
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -2,12 +2,13 @@
 
 import gc
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
 import anyio
 
+from cometseam import startup_signals
 from cometseam.config import Config, read_config
 from cometseam.counters import COUNTERS, memory_taken
 from cometseam.discovery import ConfirmationTerms, DiscoveryClient, PollTerms
@@ -36,6 +37,12 @@
 
 async def run(config: Config, compiled: Compiled | None = None) -> None:
     """Serve until SIGTERM, then answer what is owed and end; `compiled` is the operator's file."""
+    # From before anything listens: a signal must not end what has taken a connection.
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
+        await _serve(config, compiled, signals)
+
+
+async def _serve(config: Config, compiled: Compiled | None, signals: AsyncIterator[signal.Signals]) -> None:
     clock = Clock()
     timers = Timers(clock)
     taken = memory_taken()
@@ -61,43 +68,50 @@
     gc.set_threshold(UNSEEN)
     fleet = _fleet(config, compiled, router, discovery)
     async with anyio.create_task_group() as tasks:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
-            if compiled is not None:
-                router.replan(compiled)
-            router.change(list(config.known), is_news=False)
-            for actor in (router.run, timers.run, discovery.run):
-                tasks.start_soon(actor)
-            tasks.start_soon(listener.run, tasks)
-            tasks.start_soon(listener.end_overdue, config.links.longest_cut_off)
-            tasks.start_soon(_sample, clock, router)
-            if fleet is not None:
-                tasks.start_soon(fleet)
-            say("front.listens", name=config.name, host=config.listen[0], port=config.listen[1])
-            reader = OperatorsFile(router, compiled.fleet if compiled is not None else None)
-            async for number in signals:
-                if number == signal.SIGTERM:
-                    break
-                if number == signal.SIGUSR1:
-                    _print("asked", router)
-                    continue
-                if (new := _reread(config)) is not None:
-                    pool.resize((new.memory - taken) // POOL_PART)
-                    listener.most, around.connections = new.clients, new.peers
-                    discovery.move(new.changelog)
-                # Its evaluation takes a while: what was asked for before is no longer wanted. It is checked
-                # against the settings that run: others need a restart.
-                turn = reader.next()
-                if config.operator is not None:
-                    tasks.start_soon(reader.reread, turn, config.operator, config.told)
-            say("front.drains", name=config.name)
-            router.draining = True
-            listener.drain()
-            await _drain(config, clock, router, listener)
-            tasks.cancel_scope.cancel()
+        if compiled is not None:
+            router.replan(compiled)
+        router.change(list(config.known), is_news=False)
+        for actor in (router.run, timers.run, discovery.run):
+            tasks.start_soon(actor)
+        tasks.start_soon(listener.run, tasks)
+        tasks.start_soon(listener.end_overdue, config.links.longest_cut_off)
+        tasks.start_soon(_sample, clock, router)
+        if fleet is not None:
+            tasks.start_soon(fleet)
+        say("front.listens", name=config.name, host=config.listen[0], port=config.listen[1])
+        reader = OperatorsFile(router, compiled.fleet if compiled is not None else None)
+        async for number in _since_start(signals):
+            if number == signal.SIGTERM:
+                break
+            if number == signal.SIGUSR1:
+                _print("asked", router)
+                continue
+            if (new := _reread(config)) is not None:
+                pool.resize((new.memory - taken) // POOL_PART)
+                listener.most, around.connections = new.clients, new.peers
+                discovery.move(new.changelog)
+            # Its evaluation takes a while: what was asked for before is no longer wanted. It is checked
+            # against the settings that run: others need a restart.
+            turn = reader.next()
+            if config.operator is not None:
+                tasks.start_soon(reader.reread, turn, config.operator, config.told)
+        say("front.drains", name=config.name)
+        router.draining = True
+        listener.drain()
+        await _drain(config, clock, router, listener)
+        tasks.cancel_scope.cancel()
     await router.close()
     _print("at exit", router)
 
 
+async def _since_start(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[int]:
+    """Follow signals; first those that came while the program started."""
+    for number in startup_signals.came():
+        yield number
+    async for number in signals:
+        yield number
+
+
 def _fleet(
     config: Config, compiled: Compiled | None, router: Router, discovery: DiscoveryClient
 ) -> Actor | None:
