The answer to a poll is waited for though other connections are silent and discovery is slow

Cause: where four polls were unanswered, each next one took the newest one's place after 0.25 s, so a discovery slow by more than that, with three silent connections, was never heard: TimeoutError, no answer (asked, 251 ms). Two older tests hold the new rule in place of the newest-goes one (its property: a poll that can lose no answer goes first), one has eight connections where it had four.

--- a/cometseam/discovery/schedule.py
+++ b/cometseam/discovery/schedule.py
@@ -27,7 +27,8 @@
     gap: float = 250.0  # between two connections that begin beside each other
     first_wait: float = 20.0  # after a connection that failed, until another begins; it doubles
     longest_wait: float = 100.0
-    most: int = 4  # connections at once
+    most: int = 8  # connections at once
+    kept: int = 2  # of them, the oldest polls, that are never given up early
 
     @classmethod
     def for_grace(cls, grace: float) -> "PollTerms":
@@ -82,16 +83,24 @@
         begin_at = max(overdue_at, self._begin_from)
         begin = begin_at <= now
         if begin and len(live) >= self.terms.most:
-            lost = (*lost, self._newest(lost))
+            lost = (*lost, self._least_promising(lost))
         times = [self._lost_at(each) for number, each in self._outstanding.items() if number not in lost]
         if not begin:
             times.append(begin_at)
         return Check(begin, lost, min(times, default=now + self.terms.hold))
 
-    def _newest(self, lost: tuple[int, ...]) -> int:
-        """Return the connection that gives its place to another: older ones may still be answered."""
+    def _least_promising(self, lost: tuple[int, ...]) -> int:
+        """Return the connection that gives its place to another.
+
+        That is the newest with no poll yet, as no answer can be lost with it. Where all have one, it is the
+        longest unanswered but for the oldest, which a very slow discovery still answers: a newer one's answer
+        may be on its way, and the front would be notified without knowing.
+        """
         left = {number: each for number, each in self._outstanding.items() if number not in lost}
-        return max(left, key=lambda number: (left[number].current, left[number].since))
+        coming_up = [number for number, each in left.items() if each.hold is None]
+        if coming_up:
+            return max(coming_up, key=lambda number: left[number].since)
+        return sorted(left, key=lambda number: left[number].since)[self.terms.kept]
 
     def begun(self, number: int, now: float) -> None:
         """Take in that a connection begins to come up."""
