--- a/cometseam/discovery/confirmation.py
+++ b/cometseam/discovery/confirmation.py
@@ -20,12 +20,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfirmationTerms:
-    """Spans in milliseconds. Past the waits requests go out by what is known: discovery may be down."""
+    """Spans in milliseconds. Past the waits requests go out by what is known: discovery may be down.
+
+    At a start the wait costs little, as others serve meanwhile, and what is known may be old; a front that
+    serves already waits less, and not at all where discovery refuses connections.
+    """
 
     longest_gap: float = 250.0  # without a poll outstanding, past which what is known is unconfirmed
-    start_wait: float = 1000.0  # that requests wait for the first answer
+    start_wait: float = 2000.0  # that requests wait for the first answer
     gap_wait: float = 250.0  # that requests wait for an answer after a gap
-    refusals: int = 3  # connections refused in a row after which nothing is waited for
+    refusals: int = 3  # connections refused in a row after which a front that serves does not wait
 
     @classmethod
     def for_grace(cls, grace: float) -> "ConfirmationTerms":
@@ -104,8 +108,8 @@
     def refused(self, now: float) -> None:
         """Take in that discovery refuses connections: it tells nobody anything."""
         self._refusals += 1
-        if self._state is not None and self._refusals >= self._terms.refusals:
-            state = self._state
+        state = self._state
+        if state is not None and state.cause is not Cause.START and self._refusals >= self._terms.refusals:
             self._state = _Unconfirmed(state.cause, state.since, state.asked_from, min(state.wait_until, now))
 
     def moved(self, now: float) -> None:
--- a/cometseam/mailbox.py
+++ b/cometseam/mailbox.py
@@ -44,6 +44,15 @@
         self._urgent.append(message)
         self._filled.set()
 
+    def remove(self, is_wanted: Callable[[Message], bool]) -> list[Message]:
+        """Take out plain messages, wherever they stand."""
+        removed: list[Message] = []
+        kept: deque[Message] = deque()
+        for message in self._plain:
+            (removed if is_wanted(message) else kept).append(message)
+        self._plain = kept
+        return removed
+
     async def take(self, plain_wait: Callable[[], float] = lambda: 0.0) -> Message:
         """Take the next message; wait while there is none.
 
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -36,6 +36,7 @@
 # ms after which a pull's client is looked at itself before anything is sent for the pull: nothing is sent on
 # later than 100 ms after its client has left, and what tells of that may lie unread while the front is late.
 LOOK_AFTER = 50.0
+HELD_SHARE = 0.4  # of a request's time that it may wait for discovery: given up later, it is of less use
 REMEMBERED = 256  # endpoints that drain or are gone, with the time of that, for the log
 
 
@@ -114,6 +115,11 @@
 Message = Taken | Left | End | i.Rang | i.Lagged | i.Closing | Replan | Fleet
 
 
+def _has_waited(message: Message, now: float) -> bool:
+    """Tell whether a request that is held is to wait no longer."""
+    return isinstance(message, Taken) and now - message.at >= HELD_SHARE * message.order.left
+
+
 class Router:
     """The actor round one `Front`."""
 
@@ -265,7 +271,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                message = await self._mailbox.take(self._around.unconfirmed_wait)
+                message = await self._mailbox.take(self._hold_requests)
                 self.read_discovery()  # what it has told counts, however late this front comes to it
                 try:
                     self._handle(message)
@@ -273,6 +279,21 @@
                     COUNTERS.add("routing.exception")
                     say("actor.failed", error, kind=type(message).__name__)
 
+    def _hold_requests(self) -> float:
+        """Return for how many ms requests are still held at most, until discovery has confirmed the list.
+
+        Those that have waited as long as they may are shed: another front may serve them in time.
+        """
+        wait = self._around.unconfirmed_wait()
+        if wait:
+            now = self._around.clock.now()
+            for message in self._mailbox.remove(lambda message: _has_waited(message, now)):
+                assert isinstance(message, Taken)
+                COUNTERS.add("pull.shed_unconfirmed")
+                message.client.shed(message.stream, wait)
+                message.order.frame.free()
+        return wait
+
     def _handle(self, message: Message) -> None:
         match message:
             case Taken():
