--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -343,8 +343,6 @@
         if self._watch is None:
             silence = SILENCE * self._around.links.connect_within
             self._watch = self._around.timers.at(now + silence, self._look)
-        parts: list[Part] = [self._head(ask, now), *ask.body, b"\r\n"]
-
         def written(whole: bool) -> None:
             ask.written_at = self._around.clock.now() if whole else 0.0
 
@@ -360,6 +358,7 @@
             return False
 
         ask.begins()
+        parts: list[Part] = [self._head(ask, self._around.clock.now()), *ask.body, b"\r\n"]
         ask.outgoing = self.connection.send(parts, written, begin)
 
     @staticmethod
