--- a/tests/test_late_drain.py
+++ b/tests/test_late_drain.py
@@ -122,9 +122,9 @@
 
 
 async def next_poll(discovery: Discovery) -> None:
-    """Wait until the front polls anew."""
+    """Wait until the front polls anew, and has discovery hold the poll until something happens."""
     had = len(discovery.polls)
-    await discovery.news.until(lambda: len(discovery.polls) > had)
+    await discovery.news.until(lambda: any(poll.hold > 1.0 for poll in discovery.polls[had:]))
 
 
 async def notified(discovery: Discovery, event: int) -> float:
