--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -75,6 +75,7 @@
             tasks.start_soon(actor)
         tasks.start_soon(listener.run, tasks)
         tasks.start_soon(listener.end_overdue, config.links.longest_cut_off)
+        around.sampled(0.0)  # a stand-still before the first measurement shows as well
         tasks.start_soon(_sample, clock, router)
         if fleet is not None:
             tasks.start_soon(fleet)
