--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -22,7 +22,7 @@
 from cometseam.transport.client import MOST_OPEN, Listener
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection import LINGER
-from cometseam.transport.peer import SAMPLED_EVERY, Surroundings
+from cometseam.transport.surroundings import SAMPLED_EVERY, Surroundings
 
 # By the protocol, after SIGTERM: new connections come for 400 ms and pulls on open ones for 200 ms more, by
 # clients' clocks; it is killed no sooner than 700 ms after the longest cut-off, of which 3 s count at most.
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -22,12 +22,15 @@
 from cometseam.protocol.frames import Order
 from cometseam.protocol.resp import Answer
 from cometseam.routing import translate
+from cometseam.routing.messages import ClientGone, Grant, Judge, Message, Replan, RequestReceived
 from cometseam.settings import Names
 from cometseam.timing import Table
 from cometseam.tracing import Mode, Told, Tracer
+from cometseam.transport.attempt import Ask, End, GiveUp, How
 from cometseam.transport.client import Client
 from cometseam.transport.clock import Timer
-from cometseam.transport.peer import Ask, End, GiveUp, How, Peer, Surroundings
+from cometseam.transport.peer import Peer
+from cometseam.transport.surroundings import Surroundings
 
 if TYPE_CHECKING:
     from cometseam.routing.levels import Levels
@@ -66,58 +69,9 @@
     peer: Peer | None
 
 
-@dataclass(slots=True)
-class Taken:
-    """A pull has come in."""
-
-    client: Client
-    stream: int
-    order: Order
-    at: float
-
-
-@dataclass(slots=True)
-class Left:
-    """A client no longer waits for a stream."""
-
-    client: Client
-    stream: int
-
-
-@dataclass(slots=True)
-class Replan:
-    """The operator's file has changed."""
-
-    compiled: Compiled
-
-
-@dataclass(slots=True)
-class Judge:
-    """The fleet's verdict on a cache, by name; see `interface.Judged`."""
-
-    cache: str
-    bad: bool
-    rest: float
-    age: float
-
-
-@dataclass(slots=True)
-class Grant:
-    """This front's part of what a cold cache bears, or of relays out there; see `interface.Granted`."""
-
-    cache: str
-    part: float
-    lasts: float
-    relays: bool
-
-
-Fleet = Judge | Grant | i.Capped | i.Allotted
-Message = Taken | Left | End | i.Rang | i.Lagged | i.Closing | Replan | Fleet
-
-
 def _has_waited(message: Message, now: float) -> bool:
     """Tell whether a request that is held is to wait no longer."""
-    return isinstance(message, Taken) and now - message.at >= HELD_SHARE * message.order.left
+    return isinstance(message, RequestReceived) and now - message.at >= HELD_SHARE * message.order.left
 
 
 class Router:
@@ -166,7 +120,7 @@
     def owes(self) -> bool:
         """Tell whether a pull that has come is still to be answered."""
         return any(pull.owed for pull in self._open.values()) or any(
-            isinstance(message, Taken) for message in self._mailbox
+            isinstance(message, RequestReceived) for message in self._mailbox
         )
 
     def take(self, client: Client, stream: int, order: Order) -> bool:
@@ -175,11 +129,11 @@
             COUNTERS.add("pull.no_room")
             return False
         # Its client counts from when it sent it: what lay there while the process stood still may be as old.
-        return self._mailbox.offer(Taken(client, stream, order, self._around.arrived_at()))
+        return self._mailbox.offer(RequestReceived(client, stream, order, self._around.arrived_at()))
 
     def hang_up(self, client: Client, stream: int) -> None:
         """A client no longer waits; its pull, if it was not handled yet, comes first."""
-        self._mailbox.push(Left(client, stream))
+        self._mailbox.push(ClientGone(client, stream))
 
     def change(self, changes: list[Change], is_news: bool = True) -> None:
         """Act on events of discovery, in this turn: what is decided from now on goes by them.
@@ -288,7 +242,7 @@
         if wait:
             now = self._around.clock.now()
             for message in self._mailbox.remove(lambda message: _has_waited(message, now)):
-                assert isinstance(message, Taken)
+                assert isinstance(message, RequestReceived)
                 COUNTERS.add("pull.shed_unconfirmed")
                 message.client.shed(message.stream, wait)
                 message.order.frame.free()
@@ -296,11 +250,11 @@
 
     def _handle(self, message: Message) -> None:
         match message:
-            case Taken():
+            case RequestReceived():
                 self._taken(message)
             case End():
                 self._ended(message)
-            case Left():
+            case ClientGone():
                 pull = self._by_stream.get((message.client, message.stream))
                 if pull is not None:
                     self._hung_up(pull)
@@ -325,7 +279,7 @@
                 self._decide(message.compiled.plans)
                 self._relevel(message.compiled)
 
-    def _taken(self, taken: Taken) -> None:
+    def _taken(self, taken: RequestReceived) -> None:
         order, now = taken.order, self._around.clock.now()
         # Guards the others against pulls withdrawn by the hundred.
         if not self._awaits(taken.client, taken.stream, taken.at):
--- a/cometseam/routing/levels.py
+++ b/cometseam/routing/levels.py
@@ -17,7 +17,7 @@
 from cometseam.levels.watch import EVERY, Watch
 from cometseam.logic import Front
 from cometseam.protocol.changelog import Line
-from cometseam.transport.peer import Surroundings
+from cometseam.transport.surroundings import Surroundings
 
 KEPT_EVERY = 20_000.0  # ms between two times that a level is kept: it is old after two minutes
 
--- a/cometseam/routing/translate.py
+++ b/cometseam/routing/translate.py
@@ -8,7 +8,7 @@
 from cometseam.protocol.resp import Command
 from cometseam.timing import Sight, Table, whole_size
 from cometseam.timing.table import IPV4
-from cometseam.transport.peer import End, How
+from cometseam.transport.attempt import End, How
 
 HOWS = {
     How.UNSENT: i.Outcome.MOOT, How.UNCONNECTED: i.Outcome.CONNECT_FAILED, How.BROKEN: i.Outcome.RESET,
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -5,7 +5,6 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import StrEnum
 
 import anyio
 from anyio.abc import TaskGroup
@@ -17,22 +16,16 @@
 from cometseam.protocol.resp import (
     ALIVE,
     Answer,
-    Command,
     Decoder,
     write_hello,
     write_request,
     write_stop,
 )  # fmt: skip
-from cometseam.settings import Links
-from cometseam.transport.buffers import Pool
-from cometseam.transport.clock import Clock, Timer, Timers
-from cometseam.transport.connection import Connection, Outgoing, Part
-
-# ms by which the loop is late where the process has stood still; ms after that in which nothing new is
-# written, as what clients and discovery sent meanwhile (withdrawals, drains) is read first; and ms in which
-# a request that is read may have come while the process stood still.
-STAND_STILL, SETTLE, READ_UNTIL = 50.0, 8.0, 30.0
-SAMPLED_EVERY = 50.0  # ms between two measurements of the loop's lag
+from cometseam.transport.attempt import Ask, End, GiveUp, How
+from cometseam.transport.clock import Timer
+from cometseam.transport.connection import Connection, Part
+from cometseam.transport.surroundings import SETTLE, Surroundings
+
 PAST = 4  # times its streams: ids that a connection has done with and remembers, for answers that come again
 # Parts of the time that a connection may take to come up: a silence after which it is asked whether it works,
 # and how long it may take to say so.
@@ -51,123 +44,6 @@
 TRY_AGAIN = 20.0
 
 
-class How(StrEnum):
-    """How a relay ended."""
-
-    ANSWERED = "answered"
-    UNSENT = "unsent"  # given up before any of it was written: it never ran
-    UNCONNECTED = "unconnected"  # no connection came up, or it broke before the relay was written whole
-    BROKEN = "broken"  # the connection broke after it was written whole
-    TIMED_OUT = "timed_out"
-    GIVEN_UP = "given_up"
-
-
-@dataclass(slots=True, eq=False)
-class Ask:
-    """A relay to be sent: one is out for a pull at a time."""
-
-    pull: int
-    relay: int
-    command: Command
-    body: list[memoryview]
-    asked_at: float
-    due: float
-    timer: Timer | None = None
-    channel: "Channel | None" = None
-    outgoing: Outgoing | None = None
-    written_at: float = 0.0  # 0: not written whole
-    again: bool = False  # the connection it was to go over broke before it was written whole
-    # Cleared where its pull has its final answer or its client has left, or it was decided before a drain, a
-    # purge or a new start: from then on no byte of it is written anew.
-    wanted: bool = True
-    # Looked at just before its first byte is written: whether its client still waits; until when it may be.
-    awaited: Callable[[], bool] = field(default=lambda: True)
-    begin_by: float = float("inf")
-    begins: Callable[[], None] = field(default=lambda: None)  # told just before its first byte is written
-
-    def may_begin(self, now: float) -> bool:
-        """Tell whether it may be written: for a client that still waits, while a repeat of it is dropped."""
-        return self.awaited() and self.wanted and now <= self.begin_by
-
-
-@dataclass(slots=True)
-class GiveUp:
-    """Stop waiting for a relay, or take it back only if nothing of it is written yet."""
-
-    ask: Ask
-    if_unsent: bool = False
-
-
-@dataclass(slots=True)
-class End:
-    """A relay has ended."""
-
-    ask: Ask
-    how: How
-    answer: Answer | None = None
-
-
-@dataclass(slots=True)
-class Surroundings:
-    """What all peers share."""
-
-    links: Links
-    pool: Pool
-    clock: Clock
-    timers: Timers
-    connections: int  # to peers, at most
-    peers: int = 1  # listed
-    sampled_at: float = float("inf")  # when the loop's lag was last measured, a few times a second
-    resumed_at: float = float("-inf")  # when the process last went on after it had stood still, on `clock`
-    stood_for: float = 0.0  # ms that it may have stood still then
-    # For how many ms requests wait at most until discovery has confirmed the list of endpoints; 0: none.
-    confirmation_wait: Callable[[], float] = field(default=lambda: 0.0)
-    on_resume: Callable[[float], None] = field(default=lambda lasted: None)  # told of each stand-still, in ms
-
-    def sampled(self, lag: float) -> None:
-        """Take in by how many ms the loop came late to what was due."""
-        now = self.clock.now()
-        if lag > STAND_STILL and now >= self.resumed_at + READ_UNTIL:
-            self._resume(now, lag)
-        self.sampled_at = now
-
-    def write_wait(self) -> float:
-        """Return for how many ms nothing new is written at most; 0: it may be written.
-
-        After the process has stood still what lies unread is read first, and what is known of endpoints has
-        to be confirmed.
-        """
-        wait = self.unconfirmed_wait()
-        return max(self.resumed_at + SETTLE - self.clock.now(), wait, 0.0)
-
-    def unconfirmed_wait(self) -> float:
-        """Return for how many ms requests wait at most until what is known of endpoints is confirmed."""
-        self.notice_stand_still()
-        return self.confirmation_wait()
-
-    def arrived_at(self) -> float:
-        """Return the earliest time at which what is read now can have arrived."""
-        self.notice_stand_still()
-        now = self.clock.now()
-        return now - self.stood_for if now < self.resumed_at + READ_UNTIL else now
-
-    def notice_stand_still(self) -> None:
-        """Look for a stand-still here as well: sockets may come before the timer of the next sample."""
-        now = self.clock.now()
-        if now - self.sampled_at > SAMPLED_EVERY + STAND_STILL:
-            lasted, self.sampled_at = now - self.sampled_at, now
-            self._resume(now, lasted)
-
-    def _resume(self, now: float, lasted: float) -> None:
-        self.resumed_at, self.stood_for = now, lasted
-        self.on_resume(lasted)
-
-    @property
-    def share(self) -> int:
-        """Tell how many connections each peer may have."""
-        return max(self.connections // max(self.peers, 1), 1)
-
-
 class Channel:
     """One connection to the peer, coming up or open."""
 
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -19,12 +19,15 @@
 from cometseam.protocol.frames import Frame, Order
 from cometseam.protocol.resp import Command
 from cometseam.reading import Section
-from cometseam.routing.actor import Router, Taken
+from cometseam.routing.actor import Router
+from cometseam.routing.messages import RequestReceived
 from cometseam.routing.translate import Roster
+from cometseam.transport.attempt import Ask, End, GiveUp, How
 from cometseam.transport.buffers import SIZE, Pool
 from cometseam.transport.client import Client
 from cometseam.transport.clock import Clock, Timers
-from cometseam.transport.peer import Ask, Channel, End, GiveUp, How, Peer, Surroundings
+from cometseam.transport.peer import Channel, Peer
+from cometseam.transport.surroundings import Surroundings
 from tests.drive import SAMPLE, News, resp
 
 pytestmark = pytest.mark.anyio
@@ -184,7 +187,7 @@
         await anyio.lowlevel.checkpoint()
         actor.change([listing()])
         # The peer has no turn between the two: its relay waits for a connection when the change comes in.
-        actor._handle(Taken(cast(Client, caller), 1, order(), actor._around.clock.now()))
+        actor._handle(RequestReceived(cast(Client, caller), 1, order(), actor._around.clock.now()))
         actor.change([later])
         await news.until(lambda: ends)
         assert ends[0].outcome is i.Outcome.MOOT
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -23,11 +23,13 @@
 from cometseam.protocol.changelog import Listing
 from cometseam.protocol.resp import Command
 from cometseam.routing.actor import Router
+from cometseam.transport.attempt import Ask, End, GiveUp, How
 from cometseam.transport.buffers import SIZE, Pool
 from cometseam.transport.client import Client, Listener
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection import Connection
-from cometseam.transport.peer import Ask, End, GiveUp, How, Peer, Surroundings
+from cometseam.transport.peer import Peer
+from cometseam.transport.surroundings import Surroundings
 from tests.drive import Cache, News, order, resp
 from tests.test_actors import CONFIG, LISTING, Caller
 from tests.test_actors import order as ordered
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -22,9 +22,9 @@
 from cometseam.logic import Front
 from cometseam.program import _drain
 from cometseam.routing.actor import LOOK_AFTER, Router
+from cometseam.transport.attempt import How
 from cometseam.transport.buffers import Pool
 from cometseam.transport.client import CROSSES, Client, Listener
-from cometseam.transport.peer import How
 from tests.drive import SETTINGS, Cache, Drive, World, frame, order, resp, world
 from tests.test_actors import CONFIG, LISTING, Caller
 from tests.test_actors import order as ordered
--- a/tests/test_timers_first.py
+++ b/tests/test_timers_first.py
@@ -13,7 +13,7 @@
 import anyio
 import pytest
 
-from cometseam.transport.peer import How
+from cometseam.transport.attempt import How
 from tests.drive import order, resp
 from tests.test_endings import TAG, Whole, clients, one_peer, turns
 
