--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -290,10 +290,10 @@
 
 
 def test_serving_imports_nothing_that_only_checking_or_commands_need() -> None:
-    code = "import cometseam.__main__, sys; print(*sorted(sys.modules))"
+    code = "import cometseam.__main__, cometseam.serving, sys; print(*sorted(sys.modules))"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     loaded = done.stdout.split()
-    assert not {"typer", "pydantic", "netaddr", "_jsonnet", "rich"} & set(loaded)
+    assert not {"typer", "pydantic", "netaddr", "_jsonnet", "rich", "cometseam.soak"} & set(loaded)
     assert "cometseam.logic" in loaded
 
 
--- a/tests/test_startup_signals.py
+++ b/tests/test_startup_signals.py
@@ -32,6 +32,8 @@
 
         async def feed(text: str) -> None:
             for is_start in (True, False):  # each opening waits until the front reads
+                if not is_start:
+                    await here.logged(b"listens")  # it has read the first to its end
                 with await anyio.to_thread.run_sync(open, here.path, "w", abandon_on_cancel=True) as file:
                     if is_start:
                         here.process.send_signal(signal.SIGUSR1)
