--- a/cometseam/__main__.py
+++ b/cometseam/__main__.py
@@ -2,13 +2,13 @@
 
 import sys
 
-from cometseam import startup_signals
+from cometseam import signals
 
 
 def main() -> int:
     """Serve; the command line is imported only where there is one, since serving needs none of it."""
     if len(sys.argv) == 1:
-        startup_signals.hold()
+        signals.hold()
         from cometseam.serving import serve  # takes a while, in which signals may come
 
         return serve()
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -2,13 +2,13 @@
 
 import gc
 import signal
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
 import anyio
 
-from cometseam import startup_signals
+from cometseam import signals
 from cometseam.config import Config, read_config
 from cometseam.counters import COUNTERS, memory_taken
 from cometseam.discovery import ConfirmationTerms, DiscoveryClient, PollTerms
@@ -37,12 +37,7 @@
 
 async def run(config: Config, compiled: Compiled | None = None) -> None:
     """Serve until SIGTERM, then answer what is owed and end; `compiled` is the operator's file."""
-    # From before anything listens: a signal must not end what has taken a connection.
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
-        await _serve(config, compiled, signals)
-
-
-async def _serve(config: Config, compiled: Compiled | None, signals: AsyncIterator[signal.Signals]) -> None:
+    signals.hold()  # from before anything listens: none may end what has taken a connection
     clock = Clock()
     timers = Timers(clock)
     taken = memory_taken()
@@ -81,7 +76,7 @@
             tasks.start_soon(fleet)
         say("front.listens", name=config.name, host=config.listen[0], port=config.listen[1])
         reader = OperatorsFile(router, compiled.fleet if compiled is not None else None)
-        async for number in _since_start(signals):
+        async for number in signals.follow():
             if number == signal.SIGTERM:
                 break
             if number == signal.SIGUSR1:
@@ -105,14 +100,6 @@
     _print("at exit", router)
 
 
-async def _since_start(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[int]:
-    """Follow signals; first those that came while the program started."""
-    for number in startup_signals.came():
-        yield number
-    async for number in signals:
-        yield number
-
-
 def _fleet(
     config: Config, compiled: Compiled | None, router: Router, discovery: DiscoveryClient
 ) -> Actor | None:
