--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Usual clients while other clients send half a request each and wait."""
+"""Usual clients while other clients send the greater part of a request each and wait for their close."""
 
 import asyncio
 import os
@@ -15,11 +15,11 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 80
 DESCRIPTORS = 512
-BAD_CLIENTS = 140  # clients hold a third of the descriptors at most: 170, the usual ones among them
+BAD_CLIENTS = 150  # clients hold a third of the descriptors at most: 170, the usual ones among them
 BAD_LENGTH = 262144  # what their request's length field says: the largest that the protocol allows
-BAD_BYTES = 120000  # what they send of it
-BAD_WAIT_S = 3.0  # the time within which such a client is owed a refusal, an error or a close
-CALM_S, AFTER_S = 1.0, 5.0  # the bad clients connect after CALM_S
+BAD_BYTES = 200000  # what they send of it
+BAD_WAIT_S = 6.0  # they wait for what they are owed within 3 s: a refusal, an error or a close
+CALM_S, AFTER_S = 1.0, 6.0  # the bad clients connect after CALM_S
 REQUEST_INTERVAL_S = 0.05
 REQUESTS_EACH = 10  # of a usual client's connection
 LIMIT_MS = 1500  # half of the class's cut-off
