--- a/review/lib/parties.py
+++ b/review/lib/parties.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -230,19 +231,18 @@
         await self._process.wait()
 
     async def end(self) -> None:
-        """End it: SIGTERM, then SIGKILL."""
-        if self._process is None or self._process.returncode is not None:
-            return
+        """End it: SIGTERM, then SIGKILL; record its counters and remove its folder."""
         self.signal(signal.SIGTERM)
-        with suppress(TimeoutError):
-            await asyncio.wait_for(self._process.wait(), 4.0)
-        if self._process.returncode is None:
+        if self._process is not None:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._process.wait(), 4.0)
             self.signal(signal.SIGKILL)
             await self._process.wait()
-
-    def log(self) -> str:
-        """Return what it has logged."""
-        return (self.folder / "log").read_text()
+            lines = (self.folder / "log").read_text(errors="replace").splitlines()
+            for line in lines:
+                if "counters (at exit)" in line:
+                    self._record.add("front", line)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def frame(kind: int, stream: int, payload: bytes = b"") -> bytes:
