--- a/review/lib/parties.py
+++ b/review/lib/parties.py
@@ -334,11 +334,16 @@
     record = Record(folder)
 
     async def bounded() -> bool:
+        # A case that is told to end still ends the processes that it started.
+        this_task = asyncio.current_task()
+        assert this_task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, this_task.cancel)
         return await asyncio.wait_for(case(record), seconds)
 
     try:
         broken = asyncio.run(bounded())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add("case", f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         return 2
