Let half-sent requests hold neither all buffers nor anybody's reading

Cause: the pool of buffers was shared by all that is read. A client's frame took buffers for its announced length and kept them until it ended; every read needed a buffer of the same pool first; and the time-out of an incomplete frame was set anew while its connection waited for a buffer. Evidence: a probe in a scratch copy showed 906 of 906 buffers in use during the case, 904 of them by 113 incomplete requests holding 4.1 MB of data, every connection of clients and caches waiting for a buffer, and no frame overdue.

Change: client input is read into one buffer outside the pool and always consumed. Requests hold half of the pool at most, by bytes that have arrived; payloads up to 1 KB hold none. If that runs out, the frame that has been without input for longest (100 ms at least) gives up its buffers, else the newcomer; what still comes is discarded and the request shed at its end. Why it works: reading needs nothing that a client can hold, what clients hold is bounded, and it can be taken back.

--- a/cometseam/protocol/frames.py
+++ b/cometseam/protocol/frames.py
@@ -6,10 +6,13 @@
 from enum import IntEnum
 
 from cometseam.protocol import Body, BodyAllocator, ProtocolError
+from cometseam.protocol.bodies import DiscardedBody, SmallBody
 
 FRAME_HEAD = struct.Struct(">IBI")
 COUNTED_HEAD_BYTES = 5  # bytes of the head that a frame's length field includes
 MAX_FRAME_LENGTH = 262144
+# A payload up to this size is gathered without a buffer of the pool: the fields of a usual pull fit in it.
+MAX_SMALL_PAYLOAD_BYTES = 1024
 
 
 class FrameType(IntEnum):
@@ -39,6 +42,7 @@
     stream: int
     payload: bytes = b""
     payload_buffer: Body | None = None
+    is_discarded: bool = False  # the payload was not kept: there was no buffer for it
 
     def parse_fields(self) -> tuple[dict[str, str], int]:
         """Parse the fields; return them and the offset at which the body begins."""
@@ -53,18 +57,24 @@
 
 
 class Decoder:
-    """Splits a byte stream into frames."""
+    """Splits a byte stream into frames.
+
+    All input is consumed at once. A payload for which no buffer is left is discarded as it arrives, so a
+    connection is read, and its frames end, however few buffers there are.
+    """
 
     def __init__(self, allocate_body: BodyAllocator) -> None:
         self._allocate_body = allocate_body
         self._head = bytearray()
         self._body: Body | None = None
+        self._missing_bytes = 0  # of the partly read payload
+        self._is_discarding = False
 
     def feed(self, data: memoryview, frames: list[Frame]) -> int:
-        """Append the frames that are completed by `data` to `frames`.
+        """Append the frames that are completed by `data` to `frames`; raise ProtocolError if one is invalid.
 
         Returns:
-            The number of bytes consumed; less than all if no buffer is available for a payload.
+            The number of bytes consumed: all of them.
         """
         offset = 0
         while offset < len(data):
@@ -84,21 +94,47 @@
                     offset += size
                     self._head.clear()
                     continue
-                self._body = self._allocate_body(size)
-                if self._body is None:
-                    break
-            offset += self._body.write(data[offset:])
-            if self._body.is_complete():
-                frames.append(Frame(kind, stream, b"", self._body))
+                self._begin_body(size)
+            offset += self._write_body(data[offset:])
+            if not self._missing_bytes:
+                frames.append(Frame(kind, stream, b"", self._body, self._is_discarding))
                 self._head.clear()
-                self._body = None
-        return offset
+                self._body, self._is_discarding = None, False
+        return len(data)
+
+    def _begin_body(self, size: int) -> None:
+        self._missing_bytes = size
+        self._body = SmallBody(size) if size <= MAX_SMALL_PAYLOAD_BYTES else self._allocate_body(size)
+        if self._body is None:
+            self.discard_partial_frame()
+
+    def _write_body(self, data: memoryview) -> int:
+        """Store the part of `data` that belongs to the payload; return how many bytes that was."""
+        assert self._body is not None
+        wanted = min(self._missing_bytes, len(data))
+        written = self._body.write(data)
+        self._missing_bytes -= written
+        if written < wanted:  # no buffer is left
+            self.discard_partial_frame()
+            self._missing_bytes -= self._body.write(data[written:])
+        return wanted
+
+    def discard_partial_frame(self) -> None:
+        """Release what is stored of a partly read frame; the rest of it is discarded as it arrives."""
+        if self._body is not None:
+            self._body.free()
+        self._body, self._is_discarding = DiscardedBody(self._missing_bytes), True
 
     @property
     def has_partial_frame(self) -> bool:
         """Return whether a frame has been read in part."""
         return bool(self._head)
 
+    @property
+    def holds_buffers(self) -> bool:
+        """Return whether a partly read frame holds buffers of the pool."""
+        return self._body is not None and not isinstance(self._body, (DiscardedBody, SmallBody))
+
     def close(self) -> None:
         """Release the buffer of a partly read frame."""
         if self._body is not None:
--- a/cometseam/protocol/resp.py
+++ b/cometseam/protocol/resp.py
@@ -5,6 +5,7 @@
 
 from cometseam.interface import Outcome, Remark
 from cometseam.protocol import Body, BodyAllocator, ProtocolError
+from cometseam.protocol.bodies import DiscardedBody
 
 MAX_BODY_BYTES = 262144
 MAX_HEAD_BYTES = 8192  # maximum size of an answer up to its body
@@ -60,30 +61,6 @@
         return self.word == "KEEP"
 
 
-class DiscardedBody:
-    """Body that discards the bytes of a message that is no longer wanted."""
-
-    def __init__(self, size: int) -> None:
-        self._missing = size
-
-    def write(self, data: memoryview) -> int:
-        """Discard the bytes that are still missing from the start of `data`; return how many these were."""
-        discarded = min(self._missing, len(data))
-        self._missing -= discarded
-        return discarded
-
-    def is_complete(self) -> bool:
-        """Return whether all bytes of the message have been discarded."""
-        return not self._missing
-
-    def views(self, start: int = 0) -> list[memoryview]:
-        """Return no bytes: none are kept."""
-        return []
-
-    def free(self) -> None:
-        """Do nothing: no buffer is held."""
-
-
 class Decoder:
     """Splits a byte stream into answers."""
 
--- a/cometseam/transport/buffers.py
+++ b/cometseam/transport/buffers.py
@@ -1,6 +1,7 @@
 """A bounded pool of fixed-size buffers, which are allocated on first use and reused."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 
@@ -9,6 +10,7 @@
 # An eighth of the largest message: small messages waste little, large ones need few buffers.
 BUFFER_SIZE_BYTES = 32768
 SHORTAGE_RETRY_S = 0.1
+MIN_POOL_BUFFERS = 2 * 8  # two of the largest messages
 
 
 def _do_nothing() -> None:
@@ -27,7 +29,7 @@
 
     def resize(self, memory_bytes: int) -> None:
         """Change the memory bound; surplus buffers in use are discarded when they are released."""
-        max_buffers = max(memory_bytes // BUFFER_SIZE_BYTES, 2 * 8)  # at least two of the largest messages
+        max_buffers = max(memory_bytes // BUFFER_SIZE_BYTES, MIN_POOL_BUFFERS)
         self._unallocated += max_buffers - self.max_buffers
         self.max_buffers = max_buffers
         self._trim()
@@ -80,26 +82,95 @@
             await self._buffer_released.wait()
 
 
+class BufferQuota:
+    """The part of a pool that one kind of message may use; the rest is left for the others.
+
+    Its messages take a buffer when bytes for it have arrived. If none is left, `reclaim` is asked to have one
+    released.
+    """
+
+    def __init__(self, pool: BufferPool, divisor: int, reclaim: Callable[[], bool]) -> None:
+        self._pool, self._divisor = pool, divisor
+        self._reclaim = reclaim  # returns whether it had buffers released
+        self.in_use = 0
+
+    @property
+    def max_buffers(self) -> int:
+        """Return how many buffers its messages may hold together."""
+        return self._pool.max_buffers // self._divisor
+
+    def allocate(self, size: int) -> "MessageBuffer":
+        """Return storage for a message of `size` bytes, without a buffer as yet."""
+        return MessageBuffer(self, [], size)
+
+    def acquire(self) -> bytearray | None:
+        """Return a buffer, or None if there is none even after reclaiming."""
+        buffer = self._try_acquire()
+        if buffer is None:
+            COUNTERS.add("buffers.requests_short")
+        while buffer is None and self._reclaim():
+            buffer = self._try_acquire()
+        return buffer
+
+    def _try_acquire(self) -> bytearray | None:
+        if self.in_use >= self.max_buffers:
+            return None
+        buffer = self._pool.acquire()
+        if buffer is not None:
+            self.in_use += 1
+            COUNTERS.record_max("buffers.requests", self.in_use)
+        return buffer
+
+    def release(self, buffers: list[bytearray]) -> None:
+        """Return buffers to the pool."""
+        self.in_use -= len(buffers)
+        check_invariant(self.in_use >= 0, "a quota's buffers come back once")
+        self._pool.release(buffers)
+
+
+class BufferSource(Protocol):
+    """Where a message takes its buffers from."""
+
+    def acquire(self) -> bytearray | None:
+        """Return a buffer, or None if there is none."""
+
+    def release(self, buffers: list[bytearray]) -> None:
+        """Take buffers back."""
+
+
 class MessageBuffer:
-    """Storage for one message, in buffers of the pool."""
+    """Storage for one message: buffers given at the start, or taken from `source` as bytes arrive."""
 
-    __slots__ = ("_buffers", "_filled", "_pool", "size")
+    __slots__ = ("_buffers", "_filled", "_is_freed", "_source", "size")
 
-    def __init__(self, pool: BufferPool, buffers: list[bytearray], size: int) -> None:
-        self._pool, self._buffers, self.size = pool, buffers, size
+    def __init__(self, source: BufferSource, buffers: list[bytearray], size: int) -> None:
+        self._source, self._buffers, self.size = source, buffers, size
         self._filled = 0
+        self._is_freed = False
 
     def write(self, data: memoryview) -> int:
-        """Copy as much of `data` as the message still lacks; return how many bytes that was."""
+        """Copy as much of `data` as the message still lacks; return how many bytes that was.
+
+        It is less than that if a buffer is missing and the source has none.
+        """
         consumed = min(self.size - self._filled, len(data))
         copied = 0
         while copied < consumed:
             buffer_index, offset = divmod(self._filled, BUFFER_SIZE_BYTES)
+            if buffer_index == len(self._buffers) and not self._add_buffer():
+                break
             copy_size = min(BUFFER_SIZE_BYTES - offset, consumed - copied)
             self._buffers[buffer_index][offset : offset + copy_size] = data[copied : copied + copy_size]
             copied += copy_size
             self._filled += copy_size
-        return consumed
+        return copied
+
+    def _add_buffer(self) -> bool:
+        buffer = self._source.acquire()
+        if buffer is None:
+            return False
+        self._buffers.append(buffer)
+        return True
 
     def is_complete(self) -> bool:
         """Return whether all bytes of the message have been written."""
@@ -119,6 +190,7 @@
 
     def free(self) -> None:
         """Return the buffers to the pool."""
-        check_invariant(bool(self._buffers) or not self.size, "a message is freed once")
+        check_invariant(not self._is_freed or not self.size, "a message is freed once")
+        self._is_freed = True
         buffers, self._buffers = self._buffers, []
-        self._pool.release(buffers)
+        self._source.release(buffers)
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -1,6 +1,7 @@
 """Client connections, and the listener that accepts them."""
 
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 import anyio
@@ -23,7 +24,7 @@
     write_shed,
 )  # fmt: skip
 from cometseam.timing import address_number
-from cometseam.transport.buffers import BufferPool
+from cometseam.transport.buffers import BUFFER_SIZE_BYTES, BufferPool, BufferQuota
 from cometseam.transport.clock import Clock
 from cometseam.transport.connection import Chunk, Connection
 
@@ -32,6 +33,9 @@
 # The protocol wants unusable connections to be reported within 3 s of connecting: a connection that has sent
 # no complete frame, or only part of one, is closed a second earlier.
 FRAME_TIMEOUT_MS = 2000.0
+# If the buffers for requests run short, an incomplete frame of which nothing came for this long gives its up.
+STALLED_FRAME_MS = 100.0
+REQUEST_QUOTA_DIVISOR = 2  # requests may use the buffer pool divided by this; the rest is for answers
 # By the protocol clients close connections that have been idle for 4 s: a longer idle one is unused.
 IDLE_TIMEOUT_MS = 4500.0
 CHECK_INTERVAL_S = 0.25  # between two checks for overdue and stalled connections
@@ -54,24 +58,38 @@
         """Withdraw a pull: its client no longer waits for an answer on this stream."""
 
 
+class RequestBuffers:
+    """The buffers for the input of all clients.
+
+    Reading takes none of the pool, and incomplete requests a part of it at most: clients that leave theirs
+    incomplete delay neither the input of others nor the answers of endpoints.
+    """
+
+    def __init__(self, pool: BufferPool, reclaim: Callable[[], bool]) -> None:
+        self.pool = pool
+        self.quota = BufferQuota(pool, REQUEST_QUOTA_DIVISOR, reclaim)
+        self.read_buffer = bytearray(BUFFER_SIZE_BYTES)
+
+
 class Client:
     """One connection to a client."""
 
     def __init__(
         self,
         sock: socket.socket,
-        pool: BufferPool,
+        buffers: RequestBuffers,
         clock: Clock,
         pull_handler: PullHandler,
         address: str = "",
     ) -> None:
         self.address = address_number(address)  # as a number: routes and budgets may depend on it
-        self._connection = Connection(sock, pool, clock)
-        self._decoder = Decoder(pool.allocate)
+        self._connection = Connection(sock, buffers.pool, clock, buffers.read_buffer)
+        self._decoder = Decoder(buffers.quota.allocate)
         self._clock, self._pull_handler = clock, pull_handler
         self._open_streams: set[int] = set()  # streams with an unanswered pull
         self._highest_stream = 0
         self._partial_frame_since = 0.0  # when an incomplete frame began; 0: there is none
+        self.received_at = clock.now()  # when input was last read
         self._has_sent_frame = False  # at least one complete frame
         self.used_at = clock.now()  # when it last sent a complete frame or was answered
         self._is_closing = False  # no more input is processed; closes when no pull is open
@@ -125,9 +143,7 @@
         return is_silent and self.used_at < self._clock.now() - FRAME_TIMEOUT_MS
 
     def _is_frame_overdue(self) -> bool:
-        """Return whether a frame has been incomplete for too long, apart from waits for a free buffer."""
-        if self._connection.starved and self._partial_frame_since:
-            self._partial_frame_since = self._clock.now()
+        """Return whether a frame has been incomplete for too long."""
         # Unread input may be the rest of it: timers run before sockets after a pause of the process.
         is_late = 0.0 < self._partial_frame_since < self._clock.now() - FRAME_TIMEOUT_MS
         return is_late and not self._connection.has_input()
@@ -137,12 +153,22 @@
         if not self.is_idle and not self._is_closing and self._is_frame_overdue():
             self.reject_input(0, "a frame that does not end")
 
+    def has_stalled_frame(self) -> bool:
+        """Return whether an incomplete frame holds buffers although nothing comes for it."""
+        is_late = self.received_at < self._clock.now() - STALLED_FRAME_MS
+        return is_late and self._decoder.holds_buffers and not self._connection.has_input()
+
+    def discard_partial_frame(self) -> None:
+        """Release the buffers of an incomplete frame; if it still ends, its pull is shed."""
+        COUNTERS.add("client.frame_discarded")
+        self._decoder.discard_partial_frame()
+
     async def run(self, draining: bool) -> None:
         """Serve the connection until it ends."""
         if draining:
             self.send_no_more()
         try:
-            await self._connection.run(self._feed, self._withdraw)
+            await self._connection.run(self._feed, self._withdraw, self._may_read)
         finally:
             self._decoder.close()
             self._withdraw()
@@ -177,21 +203,30 @@
     def close_gracefully(self, reason: str) -> None:
         """Close the connection and process no more input; what has been sent still reaches the client."""
         self._close_reason = reason
-        self._is_closing = True
+        self._stop_processing_input()
         self._connection.close_gracefully()
 
+    def _stop_processing_input(self) -> None:
+        self._is_closing = True
+        self._decoder.close()
+
+    def _may_read(self) -> bool:
+        """Return whether input is read.
+
+        If no more of it is processed, it is not read past a bound while answers are pending: a flood then
+        stays in the client's send buffer, and the pending answers are not lost.
+        """
+        return not self._is_closing or self._discarded_bytes <= MAX_FRAME_LENGTH or self.is_idle
+
     def _feed(self, data: memoryview) -> int:
         if self._is_closing:
-            # Past the bound it is not read while answers are pending: a flood then stays in the client's send
-            # buffer, and the pending answers are not lost.
-            if self._discarded_bytes > MAX_FRAME_LENGTH and not self.is_idle:
-                return 0
             self._discarded_bytes += len(data)
             return len(data)
+        self.received_at = self._clock.now()
         frames: list[Frame] = []
-        consumed, error_text = len(data), ""
+        error_text = ""
         try:
-            consumed = self._decoder.feed(data, frames)
+            self._decoder.feed(data, frames)
         except ProtocolError as error:
             error_text = str(error)
         if frames:
@@ -205,7 +240,7 @@
             self._partial_frame_since = self._clock.now() if self._decoder.has_partial_frame else 0.0
         if error_text and not self._is_closing:
             self.reject_input(0, error_text)
-        return len(data) if self._is_closing else consumed
+        return len(data)
 
     def _close_if_done(self) -> None:
         if self._is_closing and self.is_idle:
@@ -239,13 +274,15 @@
         try:
             if len(self._open_streams) >= MAX_OPEN_PULLS:
                 raise ProtocolError("too many are open on this connection")
-            request = read_pull_request(frame)
+            request = None if frame.is_discarded else read_pull_request(frame)
         except ProtocolError as error:
             self.reject_input(stream, str(error))
             frame.free()
             return
         self._open_streams.add(stream)
-        if not self._pull_handler.submit_pull(self, stream, request):
+        if request is None:
+            COUNTERS.add("pull.no_buffers")
+        if request is None or not self._pull_handler.submit_pull(self, stream, request):
             self.answer_shed(stream, 0.0)
             frame.free()
 
@@ -256,7 +293,8 @@
         """
         COUNTERS.add("client.bad_input")
         log_event("client.unusable", why=reason)
-        self._is_closing, self._close_reason = True, "unusable input"
+        self._close_reason = "unusable input"
+        self._stop_processing_input()
         self._open_streams.discard(stream)
         self._connection.send([write_errored(stream, reason)], lambda _: self._close_if_done())
 
@@ -303,7 +341,8 @@
         self, address: tuple[str, int], max_clients: int, pool: BufferPool, clock: Clock,
         pull_handler: PullHandler, first_pull_timeout: float = 0.0,
     ) -> None:  # fmt: skip
-        self.max_clients, self._pool, self._clock, self._pull_handler = max_clients, pool, clock, pull_handler
+        self.max_clients, self._clock, self._pull_handler = max_clients, clock, pull_handler
+        self._buffers = RequestBuffers(pool, self._discard_stalled_frame)
         self._first_pull_timeout = first_pull_timeout  # ms, from accepting a connection
         self.clients: set[Client] = set()  # removed when the connection is closed
         # Connections being closed, and since when; they are still read up to a bound. They hold descriptors:
@@ -351,7 +390,7 @@
             oldest_closing.close("connection limit reached while it was closing")
         try:
             sock, (address, *_) = self._sock.accept()
-            client = Client(sock, self._pool, self._clock, self._pull_handler, address)
+            client = Client(sock, self._buffers, self._clock, self._pull_handler, address)
         except BlockingIOError:
             return False
         except (ConnectionAbortedError, InterruptedError):  # another may be waiting in the queue
@@ -431,6 +470,14 @@
                 client.close("stalled")  # at once: its buffers are needed, and its client reads nothing
                 self.clients.discard(client)
 
+    def _discard_stalled_frame(self) -> bool:
+        """Release the buffers of the frame stalled for longest; return False if none is."""
+        by_age = sorted(self.clients, key=lambda client: client.received_at)
+        stalled = next((client for client in by_age if client.has_stalled_frame()), None)
+        if stalled is not None:
+            stalled.discard_partial_frame()
+        return stalled is not None
+
     def drain(self) -> None:
         """Ask all clients, present and future, to send no new pull."""
         self._draining = True
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -1,4 +1,4 @@
-"""One TCP connection: reads into pooled buffers, and writes complete messages in order."""
+"""One TCP connection: passes input to a decoder, and writes complete messages in order."""
 
 import errno
 import socket
@@ -43,18 +43,27 @@
 
 
 class Connection:
-    """A connected socket. `run` reads until the connection ends; `close` may be called from any task."""
-
-    def __init__(self, sock: socket.socket, pool: BufferPool, clock: Clock) -> None:
+    """A connected socket. `run` reads until the connection ends; `close` may be called from any task.
+
+    Args:
+        sock: the socket.
+        pool: provides the buffer for each read, in which input stays while it cannot be consumed.
+        clock: the process's clock.
+        read_buffer: if given, it is read into this buffer instead, however few the pool has left. Connections
+            share it: their input must always be consumed at once.
+    """
+
+    def __init__(
+        self, sock: socket.socket, pool: BufferPool, clock: Clock, read_buffer: bytearray | None = None
+    ) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock, self._pool, self._clock = sock, pool, clock
+        self._sock, self._pool, self._clock, self._read_buffer = sock, pool, clock, read_buffer
         self._outgoing: deque[OutgoingMessage] = deque()
         self._write_blocked = anyio.Event()
         self.write_blocked_since = 0.0  # when bytes were last accepted, or a message was queued behind none
         self._last_write_at = 0.0
         self.closed = False
-        self.starved = False  # reading waits for a buffer of this process
         self._close_requested = anyio.Event()  # set when the write side is to be shut down
         self._is_write_shut_down = self._ends_on_remote_close = False
         # A write failed for lack of system memory: the socket may count as writable all the same.
@@ -189,27 +198,30 @@
         self.close()
 
     async def run(
-        self, feed: Callable[[memoryview], int], on_remote_close: Callable[[], None] | None = None
+        self,
+        feed: Callable[[memoryview], int],
+        on_remote_close: Callable[[], None] | None = None,
+        may_read: Callable[[], bool] = lambda: True,
     ) -> None:
         """Pass input to `feed`, which returns how many bytes it consumed, until the connection ends.
 
-        With `on_remote_close`, a close by the remote side ends the connection although some of its input is
-        still unread, and `on_remote_close` is called in the same turn of the loop: the rest of the shutdown
-        takes a few turns.
+        While `may_read` returns False, input is left to the system. With `on_remote_close`, a close by the
+        remote side ends the connection although some of its input is still unread, and `on_remote_close` is
+        called in the same turn of the loop: the rest of the shutdown takes a few turns.
         """
         self._ends_on_remote_close = on_remote_close is not None
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._write_when_writable)
                 tasks.start_soon(self._linger)
-                await self._read(feed)
+                await self._read(feed, may_read)
                 if on_remote_close is not None:
                     on_remote_close()
                 tasks.cancel_scope.cancel()
         finally:
             self.close()
 
-    async def _read(self, feed: Callable[[memoryview], int]) -> None:
+    async def _read(self, feed: Callable[[memoryview], int], may_read: Callable[[], bool]) -> None:
         skip_wait = False
         while not self.closed:
             try:
@@ -218,8 +230,8 @@
             except (anyio.ClosedResourceError, ValueError, OSError):
                 return
             skipped_wait, skip_wait = skip_wait, False
-            while (buffer := self._pool.acquire()) is None:
-                if await self._wait_for_buffer():
+            while not may_read() or (buffer := self._read_buffer or self._pool.acquire()) is None:
+                if await self._wait_to_read():
                     return
             try:
                 size = 0 if self.closed else self._sock.recv_into(buffer)
@@ -233,7 +245,7 @@
                 view = memoryview(buffer)[:size]
                 while (consumed := feed(view)) < len(view):
                     view = view[consumed:]
-                    if await self._wait_for_buffer():
+                    if await self._wait_to_read():
                         return
                 # A remote close may follow directly: the next read does not wait, so it is detected before
                 # the requests just read are handled. Otherwise pulls would be forwarded for clients that left
@@ -246,18 +258,15 @@
                     await anyio.sleep(MEMORY_RETRY_S)
                 continue
             finally:
-                self._pool.release([buffer])
+                if buffer is not self._read_buffer:
+                    self._pool.release([buffer])
 
-    async def _wait_for_buffer(self) -> bool:
-        """Wait briefly for a free buffer; return whether the remote side has closed meanwhile.
+    async def _wait_to_read(self) -> bool:
+        """Wait briefly, or until a buffer is free; return whether the remote side has closed meanwhile.
 
         Without this check pulls would be forwarded for clients that have gone, as no read can detect it now.
         """
-        self.starved = True
-        try:
-            await self._pool.wait()
-        finally:
-            self.starved = False
+        await self._pool.wait()
         return self._ends_on_remote_close and self.remote_has_closed()
 
     async def _write_when_writable(self) -> None:
--- a/cometseam/transport/probe.py
+++ b/cometseam/transport/probe.py
@@ -3,7 +3,8 @@
 import anyio
 
 from cometseam.protocol import ProtocolError
-from cometseam.protocol.resp import HELLO_REPLY, Answer, Decoder, DiscardedBody, write_hello
+from cometseam.protocol.bodies import DiscardedBody
+from cometseam.protocol.resp import HELLO_REPLY, Answer, Decoder, write_hello
 
 
 async def probe(address: tuple[str, int], timeout_ms: float) -> bool:
