Keep the latest of several purges, whichever is notified last

Cause: the decision module kept for each object and group the time of the purge notified last, so an earlier purge put its time in the place of the later one's. Evidence: on the real program the age limit passed to a cache was that of the earlier purge (1,518 to 1,591 ms where 920 to 993 ms had passed since the later one), for objects and groups, for events and for the list of a start.

Change: cometseam/purges.py, out of logic.py, keeps the latest time and the latest end of each key. Why it works: a copy younger than the latest purge is younger than all, so one time a key is enough in any order.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -46,6 +46,7 @@
     Workload,
 )
 from cometseam.levels import LoadShedder
+from cometseam.purges import PurgeTable
 from cometseam.timing import ActivePlans, CapacityShare, may_retry, retry_wait, timeout_and_hedge_delay
 
 # Servers that left the list and are remembered; see `Front.removed`.
@@ -299,9 +300,7 @@
         # above twice the mean size.
         self.answered_shares = [[1.0, 1.0, 1.0] for _ in settings.workloads]
         self.mean_sending_times = [workload.target_latency for workload in settings.workloads]
-        # By (object, -1) or (0, group): when purged and until when the purge is enforced; a new purge drops
-        # expired ones.
-        self.purges: dict[tuple[int, int], tuple[float, float]] = {}
+        self.purges = PurgeTable(settings.purge_propagation)
         self.active_plans, self.load_shedder = ActivePlans(Plans(())), LoadShedder(self.random)
         # Relays that all fronts together may have in flight at a cache, and at a parent; 0: no cap.
         self.relay_caps = (0.0, 0.0)
@@ -350,9 +349,7 @@
                     self._give_final_answer(pending)
                     self._release(pending)
             case Purged():
-                self.purges = {purge_key: times for purge_key, times in self.purges.items() if times[1] > now}
-                purge_key = (event.object, -1) if event.object else (0, event.group)
-                self.purges[purge_key] = (now - event.age, now + self.settings.purge_propagation)
+                self.purges.record(event, now)
         return self.actions
 
     # The cache list
@@ -774,11 +771,10 @@
             source.sent_work.append(pending.source_work)
         # Copies from before a purge are not accepted.
         max_age = pending.workload.fresh_ttl + pending.workload.stale_ttl if candidate.allow_stale else 0.0
-        for purge_key in ((pull.object, -1), (0, pull.group)):
-            purged_at, applies_until = self.purges.get(purge_key, (0.0, 0.0))
-            if applies_until > self.now:
-                age = max(self.now - purged_at, 0.001)
-                max_age = min(max_age or pending.workload.fresh_ttl or age, age)
+        purged_at = self.purges.latest(pull.object, pull.group, self.now)
+        if purged_at is not None:
+            age = max(self.now - purged_at, 0.001)
+            max_age = min(max_age or pending.workload.fresh_ttl or age, age)
         pending.candidate, pending.rank, pending.in_flight, pending.sent_at = candidate, rank, True, self.now
         pending.is_fill = source is not target and not pending.joins_fill
         for limit in self._limits_of_relay(pending):
