Report a shortage when a read of a cache finds no buffer

What callers could see: where answers that clients leave unread hold the very last buffer, caches are not read until those clients are closed as stalled after the longest deadline, instead of after the time to connect.

Cause: only the allocation for a message asked for buffers to be freed; a read that found the pool empty waited without asking, and without a read nothing is allocated.

Change: BufferPool.acquire asks as well, once a try; `buffers.short` counts both. test_a_cache_is_read_at_once_where_clients_that_do_not_read_hold_all_buffers failed before (the answer was never read).

--- a/cometseam/transport/buffers.py
+++ b/cometseam/transport/buffers.py
@@ -46,10 +46,12 @@
 
     def acquire(self) -> bytearray | None:
         """Return a buffer, or None if the pool is exhausted."""
+        return self._take() if self._ensure_available(1) else None
+
+    def _take(self) -> bytearray:
+        """Return one of the available buffers."""
         if self._free:
             return self._free.pop()
-        if self._unallocated <= 0:
-            return None
         self._unallocated -= 1
         COUNTERS.record_max("buffers", self.max_buffers - self._unallocated)
         return bytearray(BUFFER_SIZE_BYTES)
@@ -57,14 +59,16 @@
     def allocate(self, size: int) -> "MessageBuffer | None":
         """Return buffers for a message of `size` bytes, or None where there are not enough for all of it."""
         count = -(-size // BUFFER_SIZE_BYTES)
+        if not self._ensure_available(count):
+            return None
+        return MessageBuffer(self, [self._take() for _ in range(count)], size)
+
+    def _ensure_available(self, count: int) -> bool:
+        """Return whether `count` buffers are available, after having some freed if they are not."""
         if count > len(self._free) + self._unallocated:
             COUNTERS.add("buffers.short")
             self.on_shortage()
-        if count > len(self._free) + self._unallocated:
-            return None
-        return MessageBuffer(
-            self, [buffer for _ in range(count) if (buffer := self.acquire()) is not None], size
-        )
+        return count <= len(self._free) + self._unallocated
 
     def release(self, buffers: list[bytearray]) -> None:
         """Return buffers to the pool."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -855,6 +855,27 @@
         pool.release(acquired)
 
 
+async def test_a_cache_is_read_at_once_where_clients_that_do_not_read_hold_all_buffers() -> None:
+    """Guards against stalled clients that keep all buffers: reading found none and reported no shortage."""
+    async with one_peer() as harness:
+        await harness.start()
+        pool = harness.resources.pool
+        held = [buffer for _ in range(pool.max_buffers) if (buffer := pool.acquire()) is not None]
+        shortages = 0
+
+        def close_stalled() -> None:
+            nonlocal shortages
+            shortages += 1
+            pool.release([held.pop()])
+            pool.release([held.pop()])
+
+        pool.on_shortage = close_stalled
+        harness.start_attempt(1)
+        await (await harness.cache.next()).answer("DONE", f"tag={TAG},minted=1", b"answer")
+        assert await harness.end_reasons() == [EndReason.ANSWERED]
+        assert shortages == 1
+
+
 @pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
 async def test_client_disconnect_is_detected_while_its_input_is_not_read(is_reset: bool) -> None:
     """Guards against pulls forwarded for a client that has gone, whose flood of input is left unread."""
