--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -19,9 +19,10 @@
 from cometseam.routing.actor import Router
 from cometseam.tracing import TraceMode, Tracer
 from cometseam.transport.buffers import BufferPool
-from cometseam.transport.client import MAX_OPEN_PULLS, Listener
+from cometseam.transport.client import MAX_OPEN_PULLS
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection import LINGER_S
+from cometseam.transport.listener import Listener
 from cometseam.transport.resources import LAG_SAMPLE_INTERVAL_MS, ProcessResources
 
 # By the protocol, after SIGTERM new connections arrive for 400 ms, and pulls on open connections for 200 ms
--- a/cometseam/transport/buffers.py
+++ b/cometseam/transport/buffers.py
@@ -11,6 +11,7 @@
 BUFFER_SIZE_BYTES = 32768
 SHORTAGE_RETRY_S = 0.1
 MIN_POOL_BUFFERS = 2 * 8  # two of the largest messages
+REQUEST_QUOTA_DIVISOR = 2  # requests may use the pool divided by this; the rest is for answers
 
 
 def _do_nothing() -> None:
@@ -132,6 +133,19 @@
         self._pool.release(buffers)
 
 
+class RequestBuffers:
+    """The buffers for the input of all clients.
+
+    Reading takes none of the pool, and incomplete requests a part of it at most: clients that leave theirs
+    incomplete delay neither the input of others nor the answers of endpoints.
+    """
+
+    def __init__(self, pool: BufferPool, reclaim: Callable[[], bool]) -> None:
+        self.pool = pool
+        self.quota = BufferQuota(pool, REQUEST_QUOTA_DIVISOR, reclaim)
+        self.read_buffer = bytearray(BUFFER_SIZE_BYTES)
+
+
 class BufferSource(Protocol):
     """Where a message takes its buffers from."""
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -27,9 +27,10 @@
 from cometseam.routing.actor import Router
 from cometseam.transport.attempt import Attempt, AttemptEnded, EndReason, GiveUp
 from cometseam.transport.buffers import BUFFER_SIZE_BYTES, BufferPool
-from cometseam.transport.client import Client, Listener
+from cometseam.transport.client import Client
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection import Connection
+from cometseam.transport.listener import Listener
 from cometseam.transport.peer import Peer
 from cometseam.transport.resources import ProcessResources
 from tests.drive import Cache, Notifier, client_request, resp
--- a/tests/test_half_sent_requests.py
+++ b/tests/test_half_sent_requests.py
@@ -12,8 +12,8 @@
 import pytest
 
 from cometseam.protocol import frames
-from cometseam.transport.buffers import BUFFER_SIZE_BYTES, BufferPool, BufferQuota
-from cometseam.transport.client import REQUEST_QUOTA_DIVISOR, STALLED_FRAME_MS
+from cometseam.transport.buffers import BUFFER_SIZE_BYTES, REQUEST_QUOTA_DIVISOR, BufferPool, BufferQuota
+from cometseam.transport.client import STALLED_FRAME_MS
 from tests.drive import ENDS, Caller, FrontTestbed, client_request, frame, front_testbed
 from tests.test_endings import client_listener, read_to_end
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -25,7 +25,8 @@
 from cometseam.routing.actor import CLIENT_CHECK_AFTER_MS, Router
 from cometseam.transport.attempt import EndReason
 from cometseam.transport.buffers import BufferPool
-from cometseam.transport.client import CLOSE_CROSSING_MS, Client, Listener
+from cometseam.transport.client import Client
+from cometseam.transport.listener import CLOSE_CROSSING_MS, Listener
 from tests.drive import SETTINGS, Cache, FrontDriver, FrontTestbed, client_request, frame, front_testbed, resp
 from tests.test_actors import CONFIG, LISTING, Caller
 from tests.test_actors import order as ordered
