Keep a second copy of an answer from ending another attempt

Cause: an attempt's answer is matched by request id and connection, all attempts of a request share the id, and after a lookup's miss the fill went over the same connection. A late copy of the miss then proved that a fill never ran which was running. The guard (Channel.load) was off wherever the share of descriptors gave each listed endpoint one connection, those of other zones counted, and forgot ids after some tenths of a second.

Change: each request keeps over which connections it went and what ended it there. A further attempt takes a connection without its id, or one where copies of all earlier answers differ from what it can be answered (by note and time waited); copies are dropped. A refused further connection says nothing about a cache.

--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -22,6 +22,7 @@
 from cometseam.transport.client import MAX_OPEN_PULLS
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection import LINGER_S
+from cometseam.transport.connection_limit import ConnectionLimit
 from cometseam.transport.listener import Listener
 from cometseam.transport.resources import LAG_SAMPLE_INTERVAL_MS, ProcessResources
 
@@ -46,7 +47,7 @@
     timers = Timers(clock)
     interpreter_bytes = private_memory_bytes()
     pool = BufferPool((config.memory_limit - interpreter_bytes) // BUFFER_POOL_DIVISOR)
-    resources = ProcessResources(config.links, pool, clock, timers, config.max_peers)
+    resources = ProcessResources(config.links, pool, clock, timers, ConnectionLimit(config.max_peers))
     front = Front(config.seed, config.settings)
     tracer = Tracer(TraceMode(config.trace_mode), max_open=config.max_clients * MAX_OPEN_PULLS)
     router = Router(front, config.names, config.max_clients * MAX_OPEN_PULLS, resources, config.seed, tracer)
@@ -93,7 +94,8 @@
                 continue
             if (new_config := _reload_config(config)) is not None:
                 pool.resize((new_config.memory_limit - interpreter_bytes) // BUFFER_POOL_DIVISOR)
-                listener.max_clients, resources.max_connections = new_config.max_clients, new_config.max_peers
+                listener.max_clients = new_config.max_clients
+                resources.connection_limit.maximum = new_config.max_peers
                 discovery.set_address(new_config.discovery_address)
             # Evaluating the file takes a while, so a newer reload replaces a running one. The file is checked
             # against the running settings, as new settings need a restart.
--- a/cometseam/protocol/resp.py
+++ b/cometseam/protocol/resp.py
@@ -21,6 +21,10 @@
     "up_lost": Remark.SOURCE_BROKE, "up_empty": Remark.SOURCE_LACKS, "fills_full": Remark.NO_PLACE,
     "root_failed": Remark.ORIGIN_FAILED,
 }  # fmt: skip
+# Notes on why a fill failed; some deployments send none of them.
+FAILURE_REMARKS = frozenset({
+    Remark.SOURCE_REFUSED, Remark.SOURCE_BROKE, Remark.SOURCE_LACKS, Remark.NO_PLACE, Remark.ORIGIN_FAILED,
+})  # fmt: skip
 
 
 @dataclass(slots=True)
@@ -41,6 +45,11 @@
     held_tag: str
     mark: str = ""  # idempotency key of the pull; empty if it has none
 
+    @property
+    def is_lookup(self) -> bool:
+        """Return whether it asks only for what the cache itself holds."""
+        return not self.source
+
 
 @dataclass(slots=True)
 class Answer:
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -33,6 +33,7 @@
 from cometseam.settings import NameTables
 from cometseam.timing import RouteTable
 from cometseam.tracing import FinishedTrace, TraceMode, Tracer
+from cometseam.transport.answer_matching import NO_HISTORY, RequestHistory
 from cometseam.transport.attempt import Attempt, AttemptEnded, EndReason, GiveUp
 from cometseam.transport.client import Client
 from cometseam.transport.clock import Timer
@@ -67,6 +68,7 @@
     relay_count: int = 0
     in_flight: "InFlightRelay | None" = None
     timer: Timer | None = None
+    history: RequestHistory = NO_HISTORY  # its attempts that have ended
 
 
 @dataclass(slots=True)
@@ -403,7 +405,6 @@
             changed = {
                 cache for cache in previous_starts if current_starts.get(cache) != previous_starts[cache]
             }
-            self._resources.peer_count = len(self._endpoints)
             self._not_ready_since = {
                 cache: at for cache, at in self._not_ready_since.items() if cache not in current_starts
             }
@@ -422,6 +423,7 @@
             self._process_event(
                 i.CacheListUpdate(i.ListUpdateKind.CACHED, update.entries) if is_first_list else update
             )
+            self._resources.target_count = len(self._front.edges)
             # Unsent relays were decided for the cache's earlier state: ready, at its old address or start.
             self._withdraw_unsent(lambda _, relay: relay.cache in changed or relay.source in changed)
 
@@ -507,6 +509,7 @@
         deadline = now + relay.timeout if relay.timeout else pull.deadline
         command = translate.relay_command(relay, pull.request, source.name if source is not None else "")
         attempt = Attempt(pull.number, pull.relay_count, command, pull.request.body(), now, deadline)
+        attempt.history = pull.history
         attempt.is_client_waiting = lambda: self._awaits(pull.client, pull.stream, pull.received_at)
         attempt.on_begin = lambda: self._audit_attempt(relay, pull.request.id)
         if relay.write_within:
@@ -571,6 +574,7 @@
                 body.free()
             return
         cache, pull.in_flight = pull.in_flight.relay.cache, None
+        pull.history = end.attempt.history
         if self._tracer is not None:
             self._trace_end(pull, cache, kind, answer)
         if answer is not None and answer.outcome is i.Outcome.OK and pull.unanswered:
--- a/cometseam/transport/attempt.py
+++ b/cometseam/transport/attempt.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from cometseam.protocol.resp import Answer, Command
+from cometseam.transport.answer_matching import NO_HISTORY, RequestHistory
 from cometseam.transport.clock import Timer
 from cometseam.transport.connection import OutgoingMessage
 
@@ -39,6 +40,8 @@
     outgoing: OutgoingMessage | None = None
     written_at: float = 0.0  # 0: not fully written
     requeued: bool = False  # its first connection broke before it was fully written
+    is_wait_limited: bool = False  # it ends unsent soon unless it gets a connection
+    has_failed_to_connect: bool = False  # a connection that it needed was not established
     # Cleared when its pull has its final answer, its client has left, or the endpoint was chosen before a
     # drain, a purge or a restart of it: after that its transmission is neither started nor restarted.
     wanted: bool = True
@@ -47,6 +50,7 @@
     is_client_waiting: Callable[[], bool] = field(default=lambda: True)
     begin_by: float = float("inf")
     on_begin: Callable[[], None] = field(default=lambda: None)  # called just before its first byte is written
+    history: RequestHistory = NO_HISTORY  # of its pull; includes the attempt itself once it has ended
 
     def may_begin(self, now: float) -> bool:
         """Return whether writing may begin: its client waits, and a repeat would still be deduplicated."""
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -14,6 +14,7 @@
 from cometseam.mailbox import Mailbox
 from cometseam.protocol import ProtocolError
 from cometseam.protocol.resp import (
+    FAILURE_REMARKS,
     HELLO_REPLY,
     Answer,
     Decoder,
@@ -21,6 +22,7 @@
     write_request,
     write_stop,
 )  # fmt: skip
+from cometseam.transport.answer_matching import connection_use
 from cometseam.transport.attempt import Attempt, AttemptEnded, EndReason, GiveUp
 from cometseam.transport.clock import Timer
 from cometseam.transport.connection import Chunk, Connection
@@ -28,6 +30,8 @@
 
 # A connection remembers this many times `max_streams` finished ids, to recognize late and repeated answers.
 REMEMBERED_IDS_PER_STREAM = 4
+# Connections of a peer that may end slowly while others have replaced them.
+MAX_RETIRING = 2
 # These are multiples of the connect timeout.
 SILENCE_FACTOR = 0.5  # silence with relays in flight after which a keep-alive check starts
 REPLY_FACTOR = 0.5  # time in which the reply to a keep-alive check has to come
@@ -50,6 +54,7 @@
 
     def __init__(self, peer: "Peer", resources: ProcessResources) -> None:
         self._peer, self._resources = peer, resources
+        self.number = resources.next_connection_number()
         self.connection: Connection | None = None
         self.attempts: dict[str, Attempt] = {}  # in flight, by id
         # Finished ids, with whether each was given up; the oldest are dropped (REMEMBERED_IDS_PER_STREAM).
@@ -61,30 +66,57 @@
         self._suspect_since = 0.0
         self._partial_answer_since = 0.0  # when an incomplete answer began; 0: there is none
         self._is_answer_unwanted = False  # the incomplete answer is for a relay given up: no new relay
+        self._is_retiring = False  # replaced by another one: no new relay, closed after the last one out
         self.closed_locally = False  # by this process, which has logged why
         self._decoder = Decoder(resources.pool.allocate)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether it takes no more relays for good."""
+        return self._is_retiring or (self.connection is not None and self.connection.closed)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether it is open and carries no relay."""
+        return self.connection is not None and not self.connection.closed and not self.attempts
+
     def is_usable(self) -> bool:
         """Return whether relays may be sent over it."""
-        usable = self.connection is not None and not self.connection.closed
+        usable = self.connection is not None and not self.is_leaving
         return usable and not self._is_suspect and not self._is_answer_unwanted
 
     def remote_has_closed(self) -> bool:
         """Return whether the remote side has closed it, as far as that shows behind unread input."""
         return self.connection is not None and self.connection.remote_has_closed()
 
-    def load(self, request_id: str) -> tuple[bool, int] | None:
-        """Return whether writing is blocked and how many relays are in flight; None: unusable for this id."""
+    def may_carry(self, attempt: Attempt) -> bool:
+        """Return whether late or repeated answers to earlier attempts can be told from the attempt's own."""
+        id, history = attempt.command.id, attempt.history
+        if id in self.attempts:
+            return False
+        if not history.has_used(self.number):
+            return id not in self.recent_ids
+        return history.may_use_again(self.number, attempt.command, self._resources.are_failures_noted)
+
+    def load(self, attempt: Attempt) -> tuple[bool, int] | None:
+        """Return whether writing is blocked and how many relays are in flight; None: it can't be used now."""
         connection, attempt_count = self.connection, len(self.attempts)
         if connection is None or not self.is_usable() or attempt_count >= self._resources.links.max_streams:
             return None
-        if request_id in self.attempts or (
-            request_id in self.recent_ids
-            and (self.recent_ids[request_id] or self._resources.connections_per_peer > 1)
-        ):
-            return None  # a late or repeated answer to the earlier relay would be matched to this one
+        if not self.may_carry(attempt):
+            return None
         return connection.is_write_blocked, attempt_count
 
+    def retire(self) -> None:
+        """Send no more relays over it, and close it once none is in flight."""
+        self._is_retiring = True
+        self.close_if_retired()
+
+    def close_if_retired(self) -> None:
+        """Close it if another one has replaced it and no relay is in flight."""
+        if self._is_retiring and not self.attempts:
+            self.close("replaced")
+
     async def run(self) -> None:
         """Connect, and read answers until the connection ends."""
         try:
@@ -105,6 +137,8 @@
         self.used_at = self._resources.clock.now()
         try:
             self._peer.dispatch()
+            if self.is_idle:
+                self._resources.connection_limit.tell_next_waiter()
             await self.connection.run(self._feed)
         except Exception as error:
             COUNTERS.add("peer.exception")
@@ -159,6 +193,10 @@
             self._partial_answer_since = self._last_received_at
         for answer in answers:
             attempt = self.attempts.get(answer.id)
+            if answer.remark in FAILURE_REMARKS:
+                self._resources.are_failures_noted = True
+            if attempt is not None and attempt.history.is_repeated(answer, self.number):
+                attempt = None
             if (
                 attempt is not None
                 and answer.is_not_modified
@@ -348,7 +386,7 @@
     return bool(held_tag) and answer.tag == held_tag
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Peer:
     """The actor: its mailbox, its connections and the relays in flight to the endpoint."""
 
@@ -410,8 +448,19 @@
             # If its connection breaks before it is fully written, it ends as UNSENT and is not requeued.
             attempt.wanted = False
 
+    @property
+    def needs_connection(self) -> bool:
+        """Return whether relays still wait for a connection."""
+        return bool(self._waiting)
+
+    def on_room(self) -> None:
+        """Dispatch relays that wait for room for a connection, after the caller has returned."""
+        self.resources.timers.call_at(self.resources.clock.now(), self.dispatch)
+
     def dispatch(self) -> None:
         """Assign waiting relays to connections, and open another connection if all are busy."""
+        for channel in self._channels[:]:
+            channel.close_if_retired()
         if not self._waiting:
             return
         if wait := self.resources.write_wait():
@@ -427,7 +476,7 @@
         for channel in self._channels[:]:
             if not channel.attempts and channel.connection and channel.used_at < idle_since_limit:
                 channel.close("idle")
-        waiting, self._waiting, max_channels = self._waiting, [], self.resources.connections_per_peer
+        waiting, self._waiting = self._waiting, []
         for attempt in waiting:
             # Every relay is checked here just before it is written, however long it has waited.
             if not attempt.may_begin(now):
@@ -439,12 +488,8 @@
                 COUNTERS.add("peer.had_left")
                 best.close("closed by the peer, not read yet")
                 best, least_load, is_connecting = self._choose_channel(attempt)
-            if (
-                least_load >= (False, links.max_streams // 8)
-                and not is_connecting
-                and len(self._channels) < max_channels
-            ):
-                self._open_channel()
+            if least_load >= (False, links.max_streams // 8) and not is_connecting:
+                self._add_channel(attempt, is_required=best is None)
             if best is not None:
                 best.send(attempt)
             else:
@@ -455,19 +500,88 @@
         self.dispatch()
 
     def _choose_channel(self, attempt: Attempt) -> tuple["Channel | None", tuple[bool, int], bool]:
-        """Return the least busy usable connection, its load, and whether one is being established."""
+        """Return the best usable connection, its load, and whether one is being established.
+
+        Among those that can be written to, one that has not carried the attempt's id is preferred, then the
+        least busy one.
+        """
         best: Channel | None = None
         least_load, is_connecting = (True, self.resources.links.max_streams), False
+        least_rank = (True, True, self.resources.links.max_streams)
         for channel in self._channels:
-            load = channel.load(attempt.command.id)
-            if load is not None and load < least_load:
-                best, least_load = channel, load
             is_connecting = is_connecting or channel.connection is None
+            load = channel.load(attempt)
+            if load is None:
+                continue
+            is_blocked, attempt_count = load
+            rank = (is_blocked, attempt.history.has_used(channel.number), attempt_count)
+            if rank < least_rank:
+                best, least_load, least_rank = channel, load, rank
         return best, least_load, is_connecting
 
-    def _open_channel(self) -> None:
+    def _add_channel(self, attempt: Attempt, is_required: bool) -> None:
+        """Open another connection if there is room; `is_required`: no open one can take the attempt.
+
+        A required one may replace a connection of this peer that may not carry the attempt, and the least
+        recently used idle one of all peers. If there is none of these, the attempt waits for a while.
+        """
+        staying = [channel for channel in self._channels if not channel.is_leaving]
+        share = self.resources.connections_per_peer
+        has_share = len(staying) >= share
+        replaced = self._choose_replaced(attempt) if has_share and is_required else None
+        if has_share and replaced is None:
+            return
+        channel, limit = Channel(self, self.resources), self.resources.connection_limit
+        if len(self._channels) >= share + MAX_RETIRING or not limit.acquire(channel, may_evict=is_required):
+            if is_required:
+                COUNTERS.add("peer.no_room_for_connection")
+                limit.wait(self)
+                self._limit_wait(attempt)
+            return
+        if replaced is not None:
+            COUNTERS.add("peer.connection_replaced")
+            replaced.retire()
+        self._open_channel(channel)
+
+    def _choose_replaced(self, attempt: Attempt) -> Channel | None:
+        """Return the least busy usable connection that may not carry the attempt."""
+        used = (
+            channel for channel in self._channels if channel.is_usable() and not channel.may_carry(attempt)
+        )
+        return min(used, key=lambda channel: len(channel.attempts), default=None)
+
+    def _limit_wait(self, attempt: Attempt) -> None:
+        """Have an attempt end unsent if it gets no connection in the time that one may take to come up."""
+        if attempt.is_wait_limited:
+            return
+        attempt.is_wait_limited = True
+        due = self.resources.clock.now() + self.resources.links.connect_timeout
+
+        def end_if_waiting() -> None:
+            if attempt in self._waiting and not self._can_place(attempt):
+                self.finish_attempt(attempt, EndReason.UNSENT)
+
+        self.resources.timers.call_at(due, end_if_waiting)
+
+    def _can_place(self, attempt: Attempt) -> bool:
+        """Return whether an open connection may take the attempt, now or once it has room."""
+        return any(channel.is_usable() and channel.may_carry(attempt) for channel in self._channels)
+
+    def _handle_failed_connect(self) -> None:
+        """End the waiting attempts, or have those that no open connection may take try another one, once."""
+        is_reachable = any(channel.is_usable() for channel in self._channels)
+        for attempt in list(self._waiting):
+            if not is_reachable:
+                self.finish_attempt(attempt, EndReason.UNCONNECTED)
+            elif not self._can_place(attempt):
+                # The peer works, as its open connections show: the failure says nothing about it.
+                if attempt.has_failed_to_connect:
+                    self.finish_attempt(attempt, EndReason.UNSENT)
+                attempt.has_failed_to_connect = True
+        self.dispatch()
+
+    def _open_channel(self, channel: Channel) -> None:
         assert self._tasks is not None
-        channel = Channel(self, self.resources)
         self._channels.append(channel)
         COUNTERS.record_max("peer.connections_each", len(self._channels))
         self._tasks.start_soon(channel.run)
@@ -475,6 +589,7 @@
     def channel_closed(self, channel: Channel, was_connected: bool, local_failure: bool = False) -> None:
         """Handle a connection that ended or failed; `local_failure`: the endpoint is not the cause."""
         self._channels.remove(channel)
+        self.resources.connection_limit.release(channel)
         attempts, channel.attempts = list(channel.attempts.values()), {}
         for attempt in attempts:
             if attempt.written_at:
@@ -488,9 +603,8 @@
             self.dispatch()
         elif local_failure:  # waiting relays go on waiting, until their deadlines
             self.resources.timers.call_at(self.resources.clock.now() + LOCAL_RETRY_MS, self.dispatch)
-        elif not any(channel.is_usable() for channel in self._channels):
-            for attempt in list(self._waiting):
-                self.finish_attempt(attempt, EndReason.UNCONNECTED)
+        else:
+            self._handle_failed_connect()
 
     def _stop_attempt(self, attempt: Attempt, reason: EndReason) -> None:
         """End a relay early: the stop is sent before its end is reported, so before the pull's next relay."""
@@ -499,6 +613,7 @@
         else:
             is_written = bool(attempt.written_at)
             attempt.channel.give_up(attempt)
+            attempt.channel.close_if_retired()
             self.finish_attempt(attempt, reason if is_written else EndReason.UNCONNECTED)
 
     def finish_attempt(self, attempt: Attempt, reason: EndReason, answer: Answer | None = None) -> None:
@@ -508,13 +623,21 @@
         del self._in_flight[attempt.pull_number]
         if attempt.timer is not None:
             attempt.timer.cancel()
-        if attempt.channel is None and attempt in self._waiting:
-            self._waiting.remove(attempt)
+        if attempt.channel is None:
+            if attempt in self._waiting:
+                self._waiting.remove(attempt)
+        else:
+            if reason is not EndReason.UNSENT:
+                use = connection_use(attempt.channel.number, attempt.command, answer)
+                attempt.history = attempt.history.with_use(use)
+            if attempt.channel.is_idle:
+                self.resources.connection_limit.tell_next_waiter()
         self.on_attempt_ended(AttemptEnded(attempt, reason, answer))
 
     def stop(self) -> None:
         """Stop the actor and close its connections."""
         for channel in self._channels:
             channel.close("the endpoint was removed")
+            self.resources.connection_limit.release(channel)
         if self._tasks is not None:
             self._tasks.cancel_scope.cancel()
--- a/cometseam/transport/resources.py
+++ b/cometseam/transport/resources.py
@@ -6,6 +6,7 @@
 from cometseam.settings import NetworkSettings
 from cometseam.transport.buffers import BufferPool
 from cometseam.transport.clock import Clock, Timers
+from cometseam.transport.connection_limit import ConnectionLimit
 
 # A loop lag above this counts as a pause of the process.
 PAUSE_THRESHOLD_MS = 50.0
@@ -25,14 +26,22 @@
     pool: BufferPool
     clock: Clock
     timers: Timers
-    max_connections: int  # total of connections to peers
-    peer_count: int = 1  # endpoints in the list of discovery
+    connection_limit: ConnectionLimit  # of the connections to all peers
+    target_count: int = 1  # endpoints to which this front sends requests
     sampled_at: float = float("inf")  # when the loop's lag was last measured
     resumed_at: float = float("-inf")  # when the process last resumed after a pause
     pause_duration: float = 0.0  # the longest that this pause can have lasted
     # The longest that requests still wait for discovery to confirm the list of endpoints; 0: no wait.
     confirmation_wait: Callable[[], float] = field(default=lambda: 0.0)
     on_resume: Callable[[float], None] = field(default=lambda pause_ms: None)  # called after each pause
+    # Whether an answer has said why a fill failed: then a miss without such a note can only answer a lookup.
+    are_failures_noted: bool = False
+    _last_connection_number: int = 0
+
+    def next_connection_number(self) -> int:
+        """Return a number for a connection to a peer, which no other has in this process."""
+        self._last_connection_number += 1
+        return self._last_connection_number
 
     def record_loop_lag(self, lag: float) -> None:
         """Record by how many ms the event loop ran late."""
@@ -75,4 +84,4 @@
     @property
     def connections_per_peer(self) -> int:
         """Return how many connections each peer may have."""
-        return max(self.max_connections // max(self.peer_count, 1), 1)
+        return self.connection_limit.share(self.target_count)
