--- a/cometseam/transport/attempt.py
+++ b/cometseam/transport/attempt.py
@@ -11,7 +11,7 @@
 from cometseam.transport.connection import OutgoingMessage
 
 if TYPE_CHECKING:
-    from cometseam.transport.peer import Channel
+    from cometseam.transport.channel import Channel
 
 
 class EndReason(StrEnum):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -52,7 +52,7 @@
 def gates(monkeypatch: pytest.MonkeyPatch) -> list[anyio.Event]:
     """Hold each connection to a peer until the test sets its gate; gates are listed as connections begin."""
     # Imported here because test_known_red.py runs this file without the package.
-    from cometseam.transport.peer import Channel
+    from cometseam.transport.channel import Channel
 
     all_gates: list[anyio.Event] = []
     connect = Channel._connect
--- a/tests/standins/unguarded.py
+++ b/tests/standins/unguarded.py
@@ -17,7 +17,7 @@
 from cometseam.protocol.resp import write_request
 from cometseam.routing.actor import Router
 from cometseam.settings import EFFECTS
-from cometseam.transport import client, peer
+from cometseam.transport import channel, client
 
 EXTRA_TIME_MS = 2000.0  # given to endpoints beyond the time that is left
 STARTUP_DELAY_S = 0.5  # in which an event can come between the configuration and the first attempt
@@ -60,14 +60,16 @@
 def too_much_time() -> None:
     """Give endpoints more time than the client has left."""
     replace_import(
-        peer, "write_request", lambda command, left, size: write_request(command, left + EXTRA_TIME_MS, size)
+        channel,
+        "write_request",
+        lambda command, left, size: write_request(command, left + EXTRA_TIME_MS, size),
     )
 
 
 def no_stop() -> None:
     """Do not stop a cancelled attempt at its endpoint."""
-    replace_import(peer, "write_stop", lambda id: b"")
-    peer.Channel.close = lambda self, why: None  # type: ignore[method-assign]
+    replace_import(channel, "write_stop", lambda id: b"")
+    channel.Channel.close = lambda self, why: None  # type: ignore[method-assign]
 
 
 def repeat_all() -> None:
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -28,10 +28,11 @@
 from cometseam.routing.translate import EndpointTable
 from cometseam.transport.attempt import Attempt, AttemptEnded, EndReason, GiveUp
 from cometseam.transport.buffers import BUFFER_SIZE_BYTES, BufferPool
+from cometseam.transport.channel import Channel
 from cometseam.transport.client import Client
 from cometseam.transport.clock import Clock, Timers
 from cometseam.transport.connection_limit import ConnectionLimit
-from cometseam.transport.peer import Channel, Peer
+from cometseam.transport.peer import Peer
 from cometseam.transport.resources import ProcessResources
 from tests.drive import SAMPLE, Notifier, resp
 
