Force the shortage of buffers in the test of clients that do not read

test_clients_that_do_not_read_are_closed_when_buffers_run_short sent all requests at once and stopped at its quick client's first answer, hoping that buffers had run short by then. No fault of the program was seen in it.

Now clients that read nothing ask for one answer after another until the program counts a shortage, then go on on the same connections, whose answers need buffers, until one of them has been closed; only then the quick client has to be served. All checks of the old test are kept (served whole, a shortage, a stalled client, memory under 64 MB), and the first two are now reached by its steps.

--- a/tests/drive.py
+++ b/tests/drive.py
@@ -424,9 +424,22 @@
         """Wait for the program's end, and return its counters."""
         assert await self.process.wait() == 0, self.output.decode()
         await self.logged(b"at exit")
-        counters = self.output.decode().split("counters (at exit): ")[1]
-        # Counters of broken invariants have several words in their names.
-        return {name: float(value) for name, value in re.findall(r"(\S[^=\n]*)=(-?[0-9.]+)", counters)}
+        return parse_counters(self.output.decode().split("counters (at exit): ")[1])
+
+    async def read_counters(self) -> dict[str, float]:
+        """Return the running program's counters."""
+        marker = b"counters (asked): "
+        count_before = self.output.count(marker)
+        self.process.send_signal(signal.SIGUSR1)
+        await self.notifier.wait_until(
+            lambda: self.output.count(marker) > count_before and b"\n" in self.output.rpartition(marker)[2]
+        )
+        return parse_counters(self.output.rpartition(marker)[2].partition(b"\n")[0].decode())
+
+
+def parse_counters(text: str) -> dict[str, float]:
+    """Return the counters of a log line; those of broken invariants have several words in their names."""
+    return {name.strip(): float(value) for name, value in re.findall(r"(\S[^=\n]*)=(-?[0-9.]+)", text)}
 
 
 @asynccontextmanager
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -20,7 +20,17 @@
 import pytest
 from anyio.abc import SocketAttribute
 
-from tests.drive import ENDS, SAMPLE, ReceivedFrame, client_request, fields_of, frame, front_testbed, resp
+from tests.drive import (
+    ENDS,
+    SAMPLE,
+    Caller,
+    ReceivedFrame,
+    client_request,
+    fields_of,
+    frame,
+    front_testbed,
+    resp,
+)
 
 pytestmark = pytest.mark.anyio
 TAG, OBJECT = "4be0c1927d55a6f3", "7f3a9c21e0b4d655"
@@ -533,6 +543,7 @@
 
 
 async def test_clients_that_do_not_read_are_closed_when_buffers_run_short(tmp_path: Path) -> None:
+    """Guards against answers that nobody reads holding all buffers: the others are served all the same."""
     body = bytes(240_000)
     async with front_testbed(tmp_path, memory_mb=40) as testbed:
 
@@ -542,18 +553,39 @@
                 with suppress(*ENDS):  # the front may have closed the connection meanwhile
                     await attempt.answer("DONE" if attempt.verb == "REQ" else "PAST", "-", body)
 
+        async def ask(caller: Caller, first_id: int, streams: range) -> None:
+            """Have a client that reads nothing ask for answers, one after another."""
+            for stream in streams:
+                answered, id = len(testbed.caches["cache-1"].commands), f"{first_id + stream:016x}"
+                with suppress(*ENDS):  # the front may close it
+                    await caller.send(client_request(stream, item=id, txn=id, ram="1"))
+                with anyio.move_on_after(0.2):
+                    await testbed.notifier.wait_until(
+                        lambda: len(testbed.caches["cache-1"].commands) > answered  # noqa: B023
+                    )
+
+        async def count(name: str) -> float:
+            return (await testbed.read_counters()).get(name, 0.0)
+
         testbed._tasks.start_soon(answer_all)
-        slow = [await testbed.connect_client() for _ in range(6)]
-        for number, caller in enumerate(slow, 1):
-            ids = [f"{100 * number + stream:016x}" for stream in range(1, 33)]
-            await caller.send(
-                *(client_request(stream_id, item=id, txn=id, ram="1") for stream_id, id in enumerate(ids, 1))
-            )
+        slow: list[Caller] = []
+        while not await count("buffers.short"):
+            slow.append(await testbed.connect_client())
+            await ask(slow[-1], 100 * len(slow), range(1, 25))
+        # Their further answers find no buffers until a client has read nothing for long enough.
+        streams = iter(range(25, 33))
+        while not await count("client.stalled"):
+            stream = next(streams)
+            for number, caller in enumerate(slow, 1):
+                await ask(caller, 100 * number, range(stream, stream + 1))
+            await anyio.sleep(0.05)
         quick = await testbed.connect_client()
         for stream in range(1, 1000):
             await quick.send(client_request(stream, ram="1"))
             if (got := await quick.next()).code == 1:
                 break
         assert got.body == body
+        for caller in slow:
+            await caller.stream.aclose()  # the front's exit would wait for them
         counts = await testbed.stop()
         assert counts["client.stalled"] >= 1 and counts["buffers.short"] >= 1 and counts["memory_mb"] < 64
