--- a/review/8/case.py
+++ b/review/8/case.py
@@ -80,7 +80,11 @@
         cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True,
     )  # fmt: skip
     assert process.stdout is not None
-    line = await asyncio.wait_for(asyncio.to_thread(process.stdout.readline), 15.0)
+    try:
+        line = await asyncio.wait_for(asyncio.to_thread(process.stdout.readline), 15.0)
+    except BaseException:
+        process.kill()
+        raise
     record.add(f"coordination service: {line.strip()}")
     return process, int(line.split()[1])
 
--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -317,8 +317,9 @@
         } | self.extra_environment  # fmt: skip
         with open(Path(self._folder.name) / "log.txt", "ab") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=log, stderr=log
-            )
+                ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=log, stderr=log,
+                start_new_session=True,
+            )  # fmt: skip
         self.record.add(f"{self.name}: started as process {self.process.pid} at {self.address}")
 
     def signal(self, number: int) -> None:
@@ -349,9 +350,10 @@
         return (Path(self._folder.name) / "log.txt").read_text(errors="replace")
 
     def end(self) -> None:
-        """End the process."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.kill()
+        """End the process and what it has started."""
+        if self.process is not None:
+            with suppress(ProcessLookupError):
+                os.killpg(self.process.pid, signal.SIGKILL)
             self.process.wait()
         for line in self.log().splitlines()[-60:]:
             self.record.add(f"{self.name} logged: {line[:300]}")
@@ -420,13 +422,21 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+async def _play(case: Callable[[Record], Awaitable[list[str]]], record: Record) -> list[str]:
+    """Play a case; a signal that tells the script to end cancels it, so that it ends what it started."""
+    playing = asyncio.ensure_future(asyncio.wait_for(case(record), 110.0))  # type: ignore[arg-type]
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
+    return await playing
+
+
 def main(case: Callable[[Record], Awaitable[list[str]]], folder: Path) -> None:
     """Run a case; exit with 1 where the rule was broken, 0 where it held, 2 where the case couldn't run."""
     record = Record(folder)
     record.add(f"with the disruption: {with_trouble()}")
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record), 115.0))  # type: ignore[arg-type]
-    except Exception as error:
+        broken = asyncio.run(_play(case, record))
+    except (Exception, asyncio.CancelledError) as error:
         record.add(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
