--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 test -x .venv/bin/python
-# Case 8 starts the project's stand-in of the coordination service and two fronts with an operator's file.
+# Case 9 starts the project's stand-in of the coordination service and two fronts with an operator's file.
 .venv/bin/pip -q install -r requirements-operator.txt -r requirements-fleet.txt
 for each in review/lib2/*.py review/6/*.py review/7/*.py review/8/*.py review/9/*.py review/10/*.py; do
   if test -f "$each"; then
