Apply a change of an endpoint at a cost that the list's length does not raise

Cause: each event cost the whole list. The router built two tables of all endpoints to find what had changed, the decision module sorted all servers and built the caches, parents and origin in use anew. That was 5 ms an event at 3,200 endpoints, with 823 events a second, so each answer of discovery held four times as many events as the one before.

Change: a table of servers that keeps those of each role in order as changes come; what an event changes is found from the entries that it names; unsent relays are withdrawn once an answer. The endpoint table moved out of translate.py.

--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -47,6 +47,7 @@
 )
 from cometseam.levels import LoadShedder
 from cometseam.purges import PurgeTable
+from cometseam.server_table import ServerTable
 from cometseam.timing import ActivePlans, CapacityShare, may_retry, retry_wait, timeout_and_hedge_delay
 
 # Servers that left the list and are remembered; see `Front.removed`.
@@ -275,18 +276,20 @@
         self.actions: list[Action] = []
         # A pull is removed once it is answered and no relay of it is in flight.
         self.pending: dict[int, PendingPull] = {}
-        self.servers: dict[int, Server] = {}  # those that the list has as ready
+        # The servers that the list has as ready, and below those of one role; all change as the list does.
+        self._table: ServerTable[Server] = ServerTable(settings)
+        self.servers = self._table.servers
         # Servers that left the list while the fleet shares out their capacity. An entry is removed when its
         # server comes back; past MAX_REMOVED the one that left first is dropped. This guards the fleet's
         # bound: the rest of such a server's capacity is leased to other fronts under its name, so this
         # front's share must survive its absence.
         self.removed: dict[int, Server] = {}
         # The caches of this zone. `parents`: those of the zone's hub, then all others.
-        self.edges: list[Server] = []
-        # The same caches as a set: membership tests cost the same however many there are.
-        self.edge_set: set[Server] = set()
-        self.parents: list[list[Server]] = [[], []]
-        self.origin: Server | None = None
+        self.edges, self.edge_set, self.parents = (
+            self._table.edges,
+            self._table.edge_set,
+            self._table.parents,
+        )
         # Past MAX_HISTORIES the part that was not requested for the longest time is dropped.
         self.histories: OrderedDict[int, RequestHistory] = OrderedDict()
         self.history_counts = [0] * len(settings.workloads)
@@ -305,6 +308,11 @@
         # Relays that all fronts together may have in flight at a cache, and at a parent; 0: no cap.
         self.relay_caps = (0.0, 0.0)
 
+    @property
+    def origin(self) -> Server | None:
+        """The origin; None if none is listed."""
+        return self._table.origin
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Apply one event at the time `now` (ms) and return the actions to carry out, in order."""
         self.now, self.actions = now, []
@@ -354,7 +362,7 @@
 
     # The cache list
     def _apply_list_update(self, event: CacheListUpdate) -> None:
-        """Apply changes or a whole list, then rebuild the caches, parents and origin in use.
+        """Apply changes, or a whole list: what it leaves out is removed.
 
         A failed list request is repeated by a timer. The first list sets the limits on fills.
         """
@@ -366,25 +374,9 @@
             return
         if event.kind is not ListUpdateKind.CHANGES:
             for cache in self.servers.keys() - {entry.cache for entry in event.entries}:
-                self._remember_removed(self.servers.pop(cache))
+                self._remember_removed(self._table.pop(cache))
         for entry in event.entries:
             self._apply_list_entry(entry)
-        settings = self.settings
-        by_id = [self.servers[cache] for cache in sorted(self.servers)]
-        parents = [server for server in by_id if server.entry.kind == settings.parent_kind]
-        hub_zone = settings.hub_of[settings.zone] if settings.zone < len(settings.hub_of) else -1
-        self.parents = [
-            [parent for parent in parents if (parent.entry.zone == hub_zone) is in_hub]
-            for in_hub in (True, False)
-        ]
-        self.origin = next((server for server in by_id if server.entry.kind == settings.origin_kind), None)
-        upper_kinds = (settings.parent_kind, settings.origin_kind)
-        self.edges = [
-            listed
-            for listed in by_id
-            if listed.entry.zone == settings.zone and listed.entry.kind not in upper_kinds
-        ]
-        self.edge_set = set(self.edges)
         if self.fill_limit is self.origin_limit:
             pooled_limit = sum(edge.limit.size for edge in self.edges)
             self.fill_limit, self.origin_limit = (
@@ -398,14 +390,14 @@
         A server with a new start time is a new `Server` with estimates reset; one that is not ready leaves
         the table, so that nothing is sent to it.
         """
-        known = self.servers.pop(entry.cache, None) or self.removed.pop(entry.cache, None)
+        known = self._table.pop(entry.cache) or self.removed.pop(entry.cache, None)
         if entry.lifecycle is not Lifecycle.READY:
             self._remember_removed(known)
             return
         weight = entry.weight if self.settings.weights_known and entry.weight > 0 else 1.0
         if known and known.entry.ready_at == entry.ready_at:
             known.entry, known.weight = entry, weight
-            self.servers[entry.cache] = known
+            self._table.add(known)
             return
         limit = weight if self.settings.weights_known else INITIAL_LIMIT_WITHOUT_WEIGHTS
         sharing_fronts = self.count_sharing_fronts(entry)
@@ -419,7 +411,7 @@
                 known.slow_start_share,
                 known.relay_share,
             )
-        self.servers[entry.cache] = server
+        self._table.add(server)
 
     def _remember_removed(self, server: Server | None) -> None:
         """Keep a server that left while the fleet leases its capacity or caps relays.
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -22,6 +22,7 @@
 from cometseam.protocol.frames import PullRequest
 from cometseam.protocol.resp import Answer
 from cometseam.routing import translate
+from cometseam.routing.endpoints import EndpointChanges, EndpointTable
 from cometseam.routing.messages import (
     CacheCapacityLease,
     CacheHealthVerdict,
@@ -30,6 +31,7 @@
     PlansUpdated,
     RequestReceived,
 )
+from cometseam.routing.outdated import OutdatedDecisions
 from cometseam.settings import NameTables
 from cometseam.timing import RouteTable
 from cometseam.tracing import FinishedTrace, TraceMode, Tracer
@@ -99,7 +101,7 @@
         self._levels: LevelManager | None = None
         self._front, self._names, self._resources = front, names, resources
         self._workloads = {name: index for index, name in enumerate(names.workloads)}
-        self._endpoints = translate.EndpointTable()
+        self._endpoints = EndpointTable()
         self._peers: dict[int, Peer] = {}  # by cache; removed when the cache is gone or has another address
         self._mailbox: Mailbox[Message] = Mailbox(max_open)
         self._max_open = max_open
@@ -163,12 +165,14 @@
 
         `is_live`: they were received while the front ran, rather than read at its start.
         """
+        outdated = OutdatedDecisions()
         for change in changes:
             try:
-                self._apply_change(change, is_live)
+                self._apply_change(change, is_live, outdated)
             except Exception as error:  # the events after it are still applied
                 COUNTERS.add("routing.exception")
                 log_event("actor.failed", error, kind=type(change).__name__)
+        self._withdraw_unsent(outdated)
 
     def record_loop_lag(self, lag: float) -> None:
         """Queue the event loop's lag (ms)."""
@@ -390,56 +394,54 @@
             pull.client.answer_errored(pull.stream)
             check_invariant(False, "an answer by the cut-off")
 
-    def _apply_change(self, change: DiscoveryEvent, is_live: bool) -> None:
+    def _apply_change(self, change: DiscoveryEvent, is_live: bool, outdated: OutdatedDecisions) -> None:
         if isinstance(change, Purge):
             COUNTERS.add("changelog.purges")
             self._process_event(translate.purge_event(change, self._resources.clock.now(), is_live))
-            wanted, group = change.object, change.group
-            self._withdraw_unsent(
-                lambda pull, _: pull.event.object == wanted if wanted else pull.event.group == group
-            )
+            outdated.add_purge(change)
         elif isinstance(change, EndpointList):
-            previous_starts = self._endpoints.starts()
-            update = self._endpoints.apply_listing(change, self._resources.clock.now(), is_live)
-            current_starts = self._endpoints.starts()
-            changed = {
-                cache for cache in previous_starts if current_starts.get(cache) != previous_starts[cache]
-            }
-            self._not_ready_since = {
-                cache: at for cache, at in self._not_ready_since.items() if cache not in current_starts
-            }
-            self._not_ready_since.update(
-                dict.fromkeys(previous_starts.keys() - current_starts.keys(), self._resources.clock.now())
-            )
-            while len(self._not_ready_since) > MAX_REMEMBERED_ENDPOINTS:
-                del self._not_ready_since[next(iter(self._not_ready_since))]
-            for cache, peer in list(self._peers.items()):
-                entry = self._endpoints.get(cache)
-                if entry is None or entry.address != peer.address:
-                    del self._peers[cache]
-                    self._start_task(self._stop_when_idle, peer)
+            changes = self._endpoints.apply(change, self._resources.clock.now(), is_live)
+            self._record_not_ready(changes)
+            for cache in changes.affected:
+                self._remove_outdated_peer(cache)
             is_first_list = not self._has_list and change.is_snapshot
             self._has_list = True
+            update = changes.update
             self._process_event(
                 i.CacheListUpdate(i.ListUpdateKind.CACHED, update.entries) if is_first_list else update
             )
             self._resources.target_count = len(self._front.edges)
-            # Unsent relays were decided for the cache's earlier state: ready, at its old address or start.
-            self._withdraw_unsent(lambda _, relay: relay.cache in changed or relay.source in changed)
+            outdated.caches.update(changes.replaced)
+
+    def _record_not_ready(self, changes: EndpointChanges) -> None:
+        """Keep since when draining and removed caches are known to be so, up to a maximum of them."""
+        for cache in changes.ready:
+            self._not_ready_since.pop(cache, None)
+        self._not_ready_since.update(dict.fromkeys(changes.not_ready, self._resources.clock.now()))
+        while len(self._not_ready_since) > MAX_REMEMBERED_ENDPOINTS:
+            del self._not_ready_since[next(iter(self._not_ready_since))]
+
+    def _remove_outdated_peer(self, cache: int) -> None:
+        """Remove a cache's peer if the cache is gone or has another address."""
+        peer, entry = self._peers.get(cache), self._endpoints.get(cache)
+        if peer is not None and (entry is None or entry.address != peer.address):
+            del self._peers[cache]
+            self._start_task(self._stop_when_idle, peer)
 
-    def _withdraw_unsent(self, is_affected: Callable[[OpenPull, i.Relay], bool]) -> None:
+    def _withdraw_unsent(self, outdated: OutdatedDecisions) -> None:
         """Withdraw the unsent relays that were decided before a drain, a purge or a new start.
 
         They are marked at once: a connection may be established before the peer's actor runs again.
         """
-        for pull in list(self._open.values()):
-            if (
-                pull.in_flight is not None
-                and pull.in_flight.peer is not None
-                and is_affected(pull, pull.in_flight.relay)
-            ):
-                pull.in_flight.attempt.wanted = False
-                pull.in_flight.peer.mailbox.push(GiveUp(pull.in_flight.attempt, if_unsent=True))
+        if outdated.is_empty:
+            return
+        for pull in self._open.values():
+            in_flight = pull.in_flight
+            if in_flight is None or in_flight.peer is None:
+                continue
+            if outdated.affects(pull.event, in_flight.relay):
+                in_flight.attempt.wanted = False
+                in_flight.peer.mailbox.push(GiveUp(in_flight.attempt, if_unsent=True))
 
     async def _stop_when_idle(self, peer: Peer) -> None:
         """Stop a removed peer once its relays in flight have ended."""
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -24,8 +24,8 @@
 from cometseam.protocol.frames import Frame, PullRequest
 from cometseam.protocol.resp import Command
 from cometseam.routing.actor import Router
+from cometseam.routing.endpoints import EndpointTable
 from cometseam.routing.messages import RequestReceived
-from cometseam.routing.translate import EndpointTable
 from cometseam.transport.attempt import Attempt, AttemptEnded, EndReason, GiveUp
 from cometseam.transport.buffers import BUFFER_SIZE_BYTES, BufferPool
 from cometseam.transport.channel import Channel
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -15,7 +15,8 @@
 import pytest
 
 from cometseam.protocol.discovery_events import EndpointEntry, EndpointList, Purge
-from cometseam.routing.translate import MAX_LIVE_EVENT_AGE_MS, EndpointTable, purge_event
+from cometseam.routing.endpoints import MAX_LIVE_EVENT_AGE_MS, EndpointTable
+from cometseam.routing.translate import purge_event
 from cometseam.transport.clock import Clock
 from tests.drive import FrontTestbed, client_request, front_testbed
 from tests.test_actors import LISTING
