--- a/tests/test_endpoint_storms.py
+++ b/tests/test_endpoint_storms.py
@@ -23,6 +23,7 @@
 from cometseam.json_section import Section
 from cometseam.logic import Front
 from cometseam.protocol.discovery_events import DiscoveryEvent, EndpointEntry, EndpointList
+from cometseam.purges import PurgeTable
 from tests.drive import SAMPLE, Caller, FrontTestbed, client_request, front_testbed
 from tests.standins.discovery import Discovery
 from tests.test_actors import make_router
@@ -95,6 +96,19 @@
     assert cost_of_change(5000, zone, change) <= MAX_COST_RATIO * cost_of_change(10, zone, change)
 
 
+def cost_of_purge(count: int) -> int:
+    """Return the instructions that recording one more purge takes while `count` others are enforced."""
+    table = PurgeTable(CONFIG.settings.purge_propagation)
+    for number in range(count):
+        table.record(i.Purged(number + 1, 0, 0.0), float(number))
+    return count_opcodes(lambda: table.record(i.Purged(count + 1, 0, 0.0), float(count)))
+
+
+def test_cost_of_one_purge_does_not_grow_with_those_enforced() -> None:
+    """Guards against work on all purges for each one, while very many objects are purged."""
+    assert cost_of_purge(5000) <= MAX_COST_RATIO * cost_of_purge(10)
+
+
 def list_other_zone(testbed: FrontTestbed) -> list[dict[str, Any]]:
     """Add endpoints of another zone to the configuration's list, `LISTED` in all; return their entries."""
     known = testbed.config["known"]["results"][0]["fleet"]["endpoints"]
