Decode an endpoint entry at a cost that the number of zones does not raise

What callers would see: a front that stands still longer for a long answer of discovery in a fleet of many zones.

Cause: for each entry the names of all zones and kinds were indexed anew.

Change: they are indexed once for an answer.

The test test_cost_of_decoding_an_entry_does_not_grow_with_the_zones failed before.

--- a/cometseam/protocol/discovery_events.py
+++ b/cometseam/protocol/discovery_events.py
@@ -63,6 +63,14 @@
 DiscoveryEvent = EndpointList | Purge | UnusableEvent
 
 
+class NameIndexes:
+    """The index of each zone and kind by its name, built once for all entries of an answer."""
+
+    def __init__(self, names: NameTables) -> None:
+        self.zones = {name: index for index, name in enumerate(names.zones)}
+        self.kinds = {name: index for index, name in enumerate(names.kinds)}
+
+
 def poll_path(since: int, timeout: int) -> str:
     """Return the request target of a poll for the events after `since`, held for at most `timeout` ms."""
     return f"/changes?since={since}&timeout={timeout}"
@@ -82,6 +90,7 @@
     An event that cannot be decoded becomes an `UnusableEvent`, so that no event is silently applied in part.
     """
     answer.integer("seq", minimum=0)
+    indexes = NameIndexes(names)
     events: list[DiscoveryEvent] = []
     for item in answer.sections("results"):
         seq = item.integer("seq", minimum=0)
@@ -89,10 +98,10 @@
             events.append(
                 _parse_purge(seq, item)
                 if "invalidate" in item.values
-                else _parse_endpoint_list(seq, item, names)
+                else _parse_endpoint_list(seq, item, indexes)
             )
         except FieldError as error:
-            events.append(UnusableEvent(seq, str(error), _parse_usable_entries(seq, item, names)))
+            events.append(UnusableEvent(seq, str(error), _parse_usable_entries(seq, item, indexes)))
     return sorted(events, key=lambda event: event.seq)
 
 
@@ -104,14 +113,14 @@
     return Purge(seq, 0, purge.integer("bucket", minimum=0), time)
 
 
-def _parse_endpoint_list(seq: int, item: Section, names: NameTables) -> EndpointList:
+def _parse_endpoint_list(seq: int, item: Section, indexes: NameIndexes) -> EndpointList:
     """Decode a list of caches; raise FieldError if any entry is invalid."""
     fleet = item.section("fleet")
-    entries = tuple(_parse_entry(entry, names) for entry in fleet.sections("endpoints"))
+    entries = tuple(_parse_entry(entry, indexes) for entry in fleet.sections("endpoints"))
     return EndpointList(seq, fleet.flag("snapshot"), entries)
 
 
-def _parse_usable_entries(seq: int, item: Section, names: NameTables) -> EndpointList | None:
+def _parse_usable_entries(seq: int, item: Section, indexes: NameIndexes) -> EndpointList | None:
     """Decode the valid entries of a list of caches.
 
     An invalid entry with a valid name and a status other than ready is kept as gone, so that it gets no more
@@ -123,7 +132,7 @@
         for entry in fleet.sections("endpoints"):
             with suppress(FieldError):
                 try:
-                    entries.append(_parse_entry(entry, names))
+                    entries.append(_parse_entry(entry, indexes))
                 except FieldError:
                     name = entry.text("name")
                     if entry.one_of("status", LIFECYCLES) is not Lifecycle.READY:
@@ -133,14 +142,12 @@
         return None
 
 
-def _parse_entry(entry: Section, names: NameTables) -> EndpointEntry:
-    zones = {name: index for index, name in enumerate(names.zones)}
-    kinds = {name: index for index, name in enumerate(names.kinds)}
+def _parse_entry(entry: Section, indexes: NameIndexes) -> EndpointEntry:
     return EndpointEntry(
         name=entry.text("name"),
         address=read_address(entry, "address"),
-        zone=entry.one_of("zone", zones),
-        kind=entry.one_of("type", kinds),
+        zone=entry.one_of("zone", indexes.zones),
+        kind=entry.one_of("type", indexes.kinds),
         cell=entry.integer("group", 0),
         lifecycle=entry.one_of("status", LIFECYCLES),
         weight=entry.number("weight", 1.0, minimum=0),
--- a/tests/test_endpoint_storms.py
+++ b/tests/test_endpoint_storms.py
@@ -6,6 +6,7 @@
 and no cache for up to 20 s; 124 to 171 of some 254 requests were lost.
 """
 
+import json
 import sys
 import time
 from collections.abc import AsyncIterator, Callable
@@ -23,7 +24,7 @@
 from cometseam.discovery import PollPolicy
 from cometseam.json_section import Section
 from cometseam.logic import Front
-from cometseam.protocol.discovery_events import DiscoveryEvent, EndpointEntry, EndpointList
+from cometseam.protocol.discovery_events import DiscoveryEvent, EndpointEntry, EndpointList, parse_answer
 from cometseam.purges import PurgeTable
 from tests.drive import SAMPLE, Caller, FrontTestbed, client_request, front_testbed
 from tests.standins.discovery import Discovery
@@ -112,6 +113,21 @@
     assert cost_of_purge(5000) <= MAX_COST_RATIO * cost_of_purge(10)
 
 
+def cost_of_decoding(zone_count: int) -> int:
+    """Return the instructions that decoding 20 entries takes with `zone_count` zones in the settings."""
+    zones = tuple(f"zone-{number}" for number in range(zone_count))
+    entry = SAMPLE["known"]["results"][0]["fleet"]["endpoints"][0] | {"zone": "zone-1"}
+    fleet = {"index": 1, "snapshot": False, "endpoints": [entry] * 20}
+    answer = json.dumps({"seq": 2, "results": [{"seq": 2, "fleet": fleet}]}).encode()
+    names = replace(CONFIG.names, zones=zones)
+    return count_opcodes(lambda: parse_answer(answer, names))
+
+
+def test_cost_of_decoding_an_entry_does_not_grow_with_the_zones() -> None:
+    """Guards against work on all zones for each entry."""
+    assert cost_of_decoding(400) <= MAX_COST_RATIO * cost_of_decoding(10)
+
+
 def list_other_zone(testbed: FrontTestbed) -> list[dict[str, Any]]:
     """Add endpoints of another zone to the configuration's list, `LISTED` in all; return their entries."""
     known = testbed.config["known"]["results"][0]["fleet"]["endpoints"]
