Log the changes of a long answer of discovery in a few lines

What callers would see: a front that stands still for as long as its log lines take.

Cause: each event of endpoints had a line of its own, whose writing took longer than decoding the event.

Change: the first eight of an answer have a line each as before; the further ones share one, with their numbers and how many endpoints they name (changelog.applied_further).

The test test_a_long_answer_is_logged_in_few_lines failed before.

--- a/cometseam/discovery/client.py
+++ b/cometseam/discovery/client.py
@@ -19,6 +19,7 @@
 from cometseam.protocol.discovery_events import DiscoveryEvent, EndpointList, parse_answer, poll_path
 from cometseam.settings import NameTables
 
+MAX_LOGGED_EVENTS = 8  # events of one answer that are logged one by one
 MAX_LOGGED_ENDPOINTS = 8  # endpoints of one event that are logged by name
 # Interval for checking whether another front still polls discovery on behalf of this one.
 PASSIVE_CHECK_INTERVAL_MS = 50.0
@@ -262,8 +263,7 @@
             log_event("changelog.passed_over", seq=unusable.seq, why=unusable.reason)
         started_at = self._clock()
         waited = started_at - poll.phase_started_at if poll is not None else 0.0
-        for event in result.events:
-            _log_applied(event, waited)
+        _log_applied(result.events, waited)
         COUNTERS.record_max("changelog.log_ms", self._clock() - started_at)
         if result.events:
             COUNTERS.add("changelog.events", len(result.events))
@@ -311,13 +311,16 @@
         poll.connection.close()
 
 
-def _log_applied(event: DiscoveryEvent, waited: float) -> None:
-    """Log the endpoints and states of an endpoint list event; other events are not logged."""
-    if not isinstance(event, EndpointList):
-        return
-    states = [
-        f"{entry.name} {entry.lifecycle.name.lower()}" for entry in event.entries[:MAX_LOGGED_ENDPOINTS]
-    ]
-    omitted = len(event.entries) - len(states)
-    endpoints = ", ".join(states) + (f" and {omitted} more" if omitted else "")
-    log_event("changelog.applied", seq=event.seq, endpoints=endpoints, waited=waited)
+def _log_applied(events: list[DiscoveryEvent], waited: float) -> None:
+    """Log the endpoint lists among an answer's events, the first ones with endpoints and states."""
+    listings = [event for event in events if isinstance(event, EndpointList)]
+    for listing in listings[:MAX_LOGGED_EVENTS]:
+        states = [
+            f"{entry.name} {entry.lifecycle.name.lower()}" for entry in listing.entries[:MAX_LOGGED_ENDPOINTS]
+        ]
+        omitted = len(listing.entries) - len(states)
+        endpoints = ", ".join(states) + (f" and {omitted} more" if omitted else "")
+        log_event("changelog.applied", seq=listing.seq, endpoints=endpoints, waited=waited)
+    if further := listings[MAX_LOGGED_EVENTS:]:
+        count = sum(len(listing.entries) for listing in further)
+        log_event("changelog.applied_further", first=further[0].seq, last=further[-1].seq, endpoints=count)
--- a/cometseam/events.py
+++ b/cometseam/events.py
@@ -46,6 +46,11 @@
         "discovery: applied event {seq}: {endpoints}; polled {waited:.0f} ms before",
         {"seq": int, "endpoints": str, "waited": float},
     ),
+    "changelog.applied_further": EventSpec(
+        "INFO",
+        "discovery: applied events {first} to {last} of the same answer: {endpoints} endpoints",
+        {"first": int, "last": int, "endpoints": int},
+    ),
     "changelog.failed": EventSpec(
         "WARNING",
         "discovery: {kind}: {why} ({phase}, {waited:.0f} ms, events after {since})",
--- a/tests/test_endpoint_storms.py
+++ b/tests/test_endpoint_storms.py
@@ -128,6 +128,21 @@
     assert cost_of_decoding(400) <= MAX_COST_RATIO * cost_of_decoding(10)
 
 
+async def test_a_long_answer_is_logged_in_few_lines(tmp_path: Path) -> None:
+    """Guards against a log line for each of thousands of events, which took as long as decoding them."""
+    async with large_fleet(tmp_path) as (scenario, others):
+        discovery = scenario.discovery
+        for entry in others[:REPLACED]:
+            last = replace_endpoint(discovery, entry)
+        await wait_until_notified(discovery, last)
+        await discovery.notifier.wait_until(lambda: any(poll.since == last for poll in discovery.polls))
+        await scenario.testbed.stop()
+        lines = scenario.testbed.output.decode().splitlines()
+    further = f"applied events 10 to {last} of the same answer: {3 * REPLACED - 8} endpoints"
+    assert sum("discovery: applied event" in line for line in lines) == 9
+    assert any(further in line for line in lines)
+
+
 def list_other_zone(testbed: FrontTestbed) -> list[dict[str, Any]]:
     """Add endpoints of another zone to the configuration's list, `LISTED` in all; return their entries."""
     known = testbed.config["known"]["results"][0]["fleet"]["endpoints"]
