Count a reader's update of the event log only for the log that it was read from

Cause: a front that leaves polling to the reader took the reader's updates as valid whatever log they were read from. So it did not poll the new address while the reader, signalled later, still polled the old one.

Change: an update names its log. It counts where the front's own configuration names the same, and only since that is in force; a reader publishes nothing from an answer of an earlier address.

Changed tests: the fleet's stand-ins gave each front a discovery address of its own for one log, which no front shares any more. They share one; polls are counted by each front's own counter, since the stand-in cannot tell the fronts apart, and the drain that a cut-off front must read itself is looked for in its log.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -21,7 +21,7 @@
 from bench.cpu import settings
 from cometseam import interface as i
 from cometseam.logic import Front
-from cometseam.ownership import LogPollGate
+from cometseam.ownership import LogPollGate, LogSource
 from cometseam.verdicts import Prober, ProbeTerms, VerdictTable
 
 SILENT_CACHE = 1000  # the cache that stops answering
@@ -211,6 +211,7 @@
     """
     random, poll_count = Random(seed), 0
     fleet = Fleet([], random, lambda now: False)
+    source = LogSource("discovery")
     poll_gates = [LogPollGate(4000.0) for _ in range(arguments.fronts)]
     last_known = [0] * arguments.fronts
     received_at: list[dict[int, float]] = [{} for _ in range(arguments.fronts)]
@@ -232,7 +233,7 @@
             delay = arguments.lag * (0.5 + random.random())
 
             def receive_update(front: int = front) -> None:
-                if poll_gates[front].record_update(*update, fleet.now):
+                if poll_gates[front].record_update(*update, source.address, source, fleet.now):
                     receive_events(front, number)
 
             fleet.schedule(fleet.now + delay, receive_update)
@@ -240,7 +241,7 @@
     def poll(front: int) -> None:
         nonlocal poll_count
         is_reader = reader[0] == front
-        if not poll_gates[front].should_poll(is_reader, fleet.now):
+        if not poll_gates[front].should_poll(is_reader, source, fleet.now):
             fleet.schedule(fleet.now + 50.0, lambda: poll(front))
             return
         poll_count += 1
--- a/cometseam/coordination/fleet_member.py
+++ b/cometseam/coordination/fleet_member.py
@@ -24,7 +24,7 @@
 from cometseam.events import log_event
 from cometseam.limits import SharingTerms
 from cometseam.operator.fleet import FleetConfig
-from cometseam.ownership import KeyChange, LogPollGate, LogTail, State
+from cometseam.ownership import KeyChange, LogPollGate, LogSource, LogTail, State
 from cometseam.transport.probe import probe
 from cometseam.verdicts import CacheVerdict, Prober, VerdictTable, VerdictUpdate
 
@@ -100,8 +100,9 @@
         self.log_watcher = KeyRangeWatcher(
             self.client, LOG_KEY, terms.refresh_ms, clock, self._apply_log_updates
         )
-        # The token that the tail belongs to, and the number of its polls that was last published.
+        # The token and the log that the tail belongs to, and the number of its polls that was last published.
         self._tail_token = self._published_polls = 0
+        self._tail_address = ""
         if self.log_client is not None:
             self.log_client.is_passive, self.log_client.on_answer = self._polls_paused, self._record_own_poll
         self._was_prober = False  # at the last check
@@ -170,12 +171,25 @@
         active = holder is not None and holder.lease is not None and holder.ownership.may_act(self.clock())
         return holder if active else None
 
+    def _log_source(self) -> LogSource:
+        """Return the log that this front's configuration names now."""
+        assert self.log_client is not None
+        host, port = self.log_client.address
+        return LogSource(f"{host}:{port}", self.log_client.address_changes)
+
     def _polls_paused(self) -> bool:
-        return not self.log_poll_gate.should_poll(self._active_reader() is not None, self.clock())
+        is_reader = self._active_reader() is not None
+        return not self.log_poll_gate.should_poll(is_reader, self._log_source(), self.clock())
+
+    def _record_own_poll(self, answer: bytes, address: tuple[str, int]) -> None:
+        """Record the answer to this front's own poll of the log; the reader adds it to the tail.
 
-    def _record_own_poll(self, answer: bytes) -> None:
-        """Record the answer to this front's own poll of the log; the reader adds it to the tail."""
+        An answer from an earlier address shows nothing about the present log.
+        """
         COUNTERS.add("fleet.log.polls")
+        source = self._log_source()
+        if f"{address[0]}:{address[1]}" != source.address:
+            return
         self.log_poll_gate.record_catch_up(True)
         holder = self._active_reader()
         if holder is None:
@@ -183,6 +197,9 @@
         # Under a new token this front has become the reader: polls are counted from 0 under each.
         if holder.ownership.token != self._tail_token:
             self.log_tail, self._tail_token, self._published_polls = LogTail(), holder.ownership.token, 0
+        elif source.address != self._tail_address:
+            self.log_tail = LogTail(polls=self.log_tail.polls)  # the events of another log are of no use
+        self._tail_address = source.address
         results = json.loads(answer)["results"]
         self.log_tail.add([(event["seq"], len(json.dumps(event)), event) for event in results])
 
@@ -201,6 +218,7 @@
             update = {
                 "token": self._tail_token,
                 "polls": polls,
+                "log": self._tail_address,
                 "seq": log_client.last_seq,
                 "results": self.log_tail.event_payloads(),
             }
@@ -214,10 +232,13 @@
             try:
                 update = json.loads(change.entry.value)
                 token, polls, last_seq = int(update["token"]), int(update["polls"]), int(update["seq"])
-            except (ValueError, KeyError, TypeError, RecursionError):
+                address = str(update.get("log", ""))  # an earlier version's update names none: not usable
+            except (AttributeError, ValueError, KeyError, TypeError, RecursionError):
                 COUNTERS.add("fleet.log.unusable")
                 continue
-            if self.log_poll_gate.record_update(token, polls, self.clock()) and self._active_reader() is None:
+            source = self._log_source()
+            is_usable = self.log_poll_gate.record_update(token, polls, address, source, self.clock())
+            if is_usable and self._active_reader() is None:
                 COUNTERS.add("fleet.log.heard")
                 if self.log_client.last_seq < last_seq:
                     self.log_client.apply_shared_answer(change.entry.value)
--- a/cometseam/discovery/client.py
+++ b/cometseam/discovery/client.py
@@ -71,7 +71,8 @@
             clock: returns monotonic milliseconds.
             confirmation_policy: when the known state counts as confirmed; None for the defaults.
         """
-        self._address, self._names, self._on_events, self._clock = address, names, on_events, clock
+        self.address, self._names, self._on_events, self._clock = address, names, on_events, clock
+        self.address_changes = 0  # how often `address` has changed
         self._sequence = EventSequence(last_seq)
         self._schedule = PollSchedule(poll_policy or PollPolicy())
         self._confirmation = ConfirmationTracker(confirmation_policy or ConfirmationPolicy(), clock())
@@ -84,9 +85,11 @@
         # Calls `record_pause` if the process was paused.
         self.detect_process_pause: Callable[[], None] = lambda: None
         # For a fleet in which one front polls discovery for all (`coordination.fleet_member`): whether this
-        # front leaves polling to another, and a callback that gets the text of each answer.
+        # front leaves polling to another, and a callback that gets the text of each answer and the address
+        # that it came from.
         self.is_passive: Callable[[], bool] = lambda: False
-        self.on_answer: Callable[[bytes], None] = lambda text: None
+        self.on_answer: Callable[[bytes, tuple[str, int]], None] = lambda text, address: None
+        self._was_passive = False  # at the last check
 
     @property
     def last_seq(self) -> int:
@@ -95,9 +98,10 @@
 
     def set_address(self, address: tuple[str, int]) -> None:
         """Poll another address from now on; answers to polls outstanding at the old one are still read."""
-        if address == self._address:
+        if address == self.address:
             return
-        self._address = address
+        self.address = address
+        self.address_changes += 1
         self._confirmation.address_changed(self._clock())
         for number in self._schedule.address_changed(self._clock()):
             self._abandon(number, "the discovery address changed")
@@ -119,7 +123,15 @@
 
     def confirmation_wait(self) -> float:
         """Return for how many ms at most requests wait until discovery confirms the known state."""
-        return 0.0 if self.is_passive() else self._confirmation.remaining_wait(self._clock())
+        return 0.0 if self._check_passive() else self._confirmation.remaining_wait(self._clock())
+
+    def _check_passive(self) -> bool:
+        """Return whether this front leaves polling to another; note when it begins to poll itself again."""
+        is_passive = self.is_passive()
+        if self._was_passive and not is_passive:
+            self._confirmation.polling_resumed(self._clock())
+        self._was_passive = is_passive
+        return is_passive
 
     def record_attempt(self) -> float | None:
         """Record that an attempt was passed to a connection.
@@ -127,7 +139,8 @@
         Returns:
             For how many ms the known state has been unconfirmed; None if it is confirmed.
         """
-        unconfirmed_for = None if self.is_passive() else self._confirmation.unconfirmed_for(self._clock())
+        is_passive = self._check_passive()
+        unconfirmed_for = None if is_passive else self._confirmation.unconfirmed_for(self._clock())
         if unconfirmed_for is not None:
             self._unconfirmed_attempts += 1
         return unconfirmed_for
@@ -165,7 +178,7 @@
         decision = self._schedule.check(now)
         for number in decision.abandoned:
             self._abandon(number, "no answer")
-        if decision.start_connection and self.is_passive():
+        if decision.start_connection and self._check_passive():
             return PASSIVE_CHECK_INTERVAL_MS
         if decision.start_connection:
             self._start_connection(now)
@@ -179,7 +192,7 @@
         self._connections_started += 1
         self._schedule.connection_started(self._connections_started, now)
         try:
-            connection = DiscoveryConnection(self._address)
+            connection = DiscoveryConnection(self.address)
         except OSError as error:  # no file descriptor is free; the schedule tries again later
             self._schedule.connection_failed(self._connections_started, now)
             self._log_failure(error, "connecting", 0.0)
@@ -247,9 +260,9 @@
         if confirmed := self._confirmation.poll_answered(poll.number, now):
             self._log_confirmed(confirmed)
         keeps_connection = self._schedule.poll_answered(poll.number, now)
-        self.on_answer(text)
+        self.on_answer(text, poll.connection.address)
         self._state_changed.set()
-        if not keeps_connection or self.is_passive() or not poll.connection.prepare_next_poll():
+        if not keeps_connection or self._check_passive() or not poll.connection.prepare_next_poll():
             self._remove(poll)
             poll.scope.cancel()
 
--- a/cometseam/discovery/confirmation.py
+++ b/cometseam/discovery/confirmation.py
@@ -128,6 +128,15 @@
         self._outstanding.clear()
         self._not_polled_since = now
 
+    def polling_resumed(self, now: float) -> None:
+        """Record that the front polls itself again, after it relied on another front's polls.
+
+        The other front's reports count for nothing any more, so requests wait for an answer of its own.
+        """
+        self._unconfirmed = _UnconfirmedState(
+            UnconfirmedCause.NOT_POLLED, now, now, now + self._policy.gap_wait
+        )
+
     def process_paused(self, now: float, duration: float) -> None:
         """Record that the process continues after a pause of `duration` ms.
 
--- a/cometseam/ownership/__init__.py
+++ b/cometseam/ownership/__init__.py
@@ -3,7 +3,7 @@
 from cometseam.ownership.campaigns import CampaignScheduler
 from cometseam.ownership.fence import Fence, FenceDecision
 from cometseam.ownership.key_range import KeyChange, KeyEntry, KeyRangeView
-from cometseam.ownership.log_sharing import LogPollGate, LogTail
+from cometseam.ownership.log_sharing import LogPollGate, LogSource, LogTail
 from cometseam.ownership.machine import Ownership, OwnershipTerms, OwnershipTermsError, State, StateChange
 
 __all__ = [
@@ -14,6 +14,7 @@
     "KeyEntry",
     "KeyRangeView",
     "LogPollGate",
+    "LogSource",
     "LogTail",
     "Ownership",
     "OwnershipTerms",
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -309,6 +309,7 @@
         self.command = [sys.executable, "-m", "cometseam"]
         self.listens = b"listens"  # text in the program's log once it accepts connections
         self.discovery_handler = self.serve_discovery  # answers polls of discovery
+        self.discovery_address = ""  # of another front's discovery, if the fleet shares one
         self.before_start: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
         self.process: Process
         self.path: Path
@@ -379,7 +380,8 @@
 
     async def start(self, folder: Path) -> None:
         """Start the program and wait until it is ready."""
-        self.config["changelog"] = await self.listen(self.discovery_handler)
+        self.discovery_address = self.discovery_address or await self.listen(self.discovery_handler)
+        self.config["changelog"] = self.discovery_address
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         self.config["listen"] = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
         await listener.aclose()
--- a/tests/standins/fronts.py
+++ b/tests/standins/fronts.py
@@ -8,10 +8,11 @@
 import signal
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import anyio
 from anyio.abc import Process
@@ -69,6 +70,10 @@
     extra_members: list[Process] = field(default_factory=list)  # of the service, started by a test
     cold_at: float = 0.0  # s, monotonic: when cache-2 restarted
 
+    def add_event(self, **event: Any) -> None:
+        """Add an event to the discovery event log, which all fronts share."""
+        self.testbeds[0].add_event(**event)
+
     def used(self) -> list[tuple[float, float]]:
         """Return for each relay to cache-2 since its restart: s since then, and the load.
 
@@ -129,11 +134,13 @@
 async def fronts(
     count: int, names: tuple[str, ...], lasts_ms: int = 2000, limits: bool = False, expected: int = 1,
     relays: int = 0, budget: int = 0, behave: Behaviour = answer_at_once, rates: tuple[float, ...] = (),
+    prepare_front: Callable[[FrontTestbed], None] = lambda front: None,
 ) -> AsyncIterator[Fronts]:  # fmt: skip
     """Run `count` fronts on the same caches, `cache-1` and `names`; each is configured for `expected` fronts.
 
     `relays`: the fleet's cap on relays in flight at one cache; `budget`: how many relays after the first of
     their pull the fleet may send in a second; 0: no limit. `rates`: the rates of the lease clocks, by front.
+    `prepare_front` is called with each front before it starts.
     """
     budget_section = BUDGET_SECTION % budget if budget else ""
     cap = f", relays: {{ caches: {relays} }}" if relays else ""
@@ -143,6 +150,9 @@
         settings["balancers"], settings["familyInfo"]["instancesByZone"] = expected, [0, 0, expected]
         for grade in settings["grades"] if relays else ():
             grade["hardLimit"] = 2500.0  # the window over which a share that was given up still counts
+        prepare_front(front)
+        if running_fronts.testbeds:  # one discovery event log for the fleet
+            front.discovery_address = running_fronts.testbeds[0].discovery_address
 
     with tempfile.TemporaryDirectory() as folder, Caches(1 + len(names), behave) as caches:
         wal = str(Path(folder) / "etcd.wal")
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -19,6 +19,7 @@
     KeyEntry,
     KeyRangeView,
     LogPollGate,
+    LogSource,
     LogTail,
     Ownership,
     OwnershipTerms,
@@ -352,26 +353,31 @@
 # The discovery event log, polled by one front
 
 
+LOG = LogSource("127.0.0.1:1")
+
+
 def test_other_fronts_poll_only_when_the_log_readers_updates_stop() -> None:
     gate = LogPollGate(2500.0)
     # Nothing received yet.
-    assert gate.should_poll(False, 0.0)
+    assert gate.should_poll(False, LOG, 0.0)
     assert (
-        gate.record_update(5, 1, 100.0)
-        and not gate.should_poll(False, 2599.0)
-        and gate.should_poll(True, 200.0)
+        gate.record_update(5, 1, LOG.address, LOG, 100.0)
+        and not gate.should_poll(False, LOG, 2599.0)
+        and gate.should_poll(True, LOG, 200.0)
     )
     # The same update again: the reader may be dead.
-    assert not gate.record_update(5, 1, 2000.0)
-    assert gate.should_poll(False, 2600.0)
+    assert not gate.record_update(5, 1, LOG.address, LOG, 2000.0)
+    assert gate.should_poll(False, LOG, 2600.0)
     assert (
-        gate.record_update(9, 1, 3000.0) and not gate.record_update(5, 8, 3100.0) and gate.stale_updates == 1
+        gate.record_update(9, 1, LOG.address, LOG, 3000.0)
+        and not gate.record_update(5, 8, LOG.address, LOG, 3100.0)
+        and gate.stale_updates == 1
     )
     gate.record_catch_up(False)
     # After a gap it polls for what it missed.
-    assert gate.should_poll(False, 3100.0)
+    assert gate.should_poll(False, LOG, 3100.0)
     gate.record_catch_up(True)
-    assert not gate.should_poll(False, 3100.0)
+    assert not gate.should_poll(False, LOG, 3100.0)
 
 
 def test_the_log_tail_is_bounded_and_has_no_gap() -> None:
--- a/tests/test_fleet_fronts.py
+++ b/tests/test_fleet_fronts.py
@@ -15,7 +15,7 @@
 from cometseam.operator.compiled import encode_compiled
 from cometseam.operator.fleet import parse_fleet_config as read_fleet
 from cometseam.operator.load import load
-from tests.drive import SAMPLE, client_request
+from tests.drive import SAMPLE, FrontTestbed, client_request
 from tests.standins.fronts import Fronts, fronts
 
 pytestmark = pytest.mark.anyio
@@ -39,6 +39,11 @@
     return served
 
 
+async def count_polls(front: FrontTestbed) -> int:
+    """Return how many polls of the discovery event log a front has had answered."""
+    return int((await front.read_counters()).get("fleet.log.polls", 0))
+
+
 async def wait_for_verdict(running_fronts: Fronts, index: int, bad: bool) -> None:
     """Wait until a front applies the verdict on cache-2, as the relays of its pulls show."""
     first = 1 + index * 100_000 + running_fronts.caches.asked.total()
@@ -116,28 +121,26 @@
         reader = await running_fronts.wait_for_owner(task="list")
         others = [index for index in range(3) if index != reader]
         await anyio.sleep(3.0)  # a long poll is 2 s: those in flight have ended
-        counts = [len(front.polled) for front in running_fronts.testbeds]
+        counts = [await count_polls(front) for front in running_fronts.testbeds]
         await anyio.sleep(3.0)
         new_polls = [
-            len(front.polled) - count for front, count in zip(running_fronts.testbeds, counts, strict=True)
+            await count_polls(front) - count
+            for front, count in zip(running_fronts.testbeds, counts, strict=True)
         ]
         assert new_polls[reader] >= 1 and [new_polls[index] for index in others] == [0, 0]
         # A drain is logged: the reader receives it by its poll, the others by its update.
-        for front in running_fronts.testbeds:
-            drained = front.endpoint_entry("cache-2", status="leaving")
-            front.add_event(fleet={"index": 2, "snapshot": False, "endpoints": [drained]})
+        drained = running_fronts.testbeds[0].endpoint_entry("cache-2", status="leaving")
+        running_fronts.add_event(fleet={"index": 2, "snapshot": False, "endpoints": [drained]})
         before = anyio.current_time()
         await wait_for_verdict(running_fronts, others[0], True)
-        assert (
-            len(running_fronts.testbeds[others[0]].polled) == counts[others[0]]
-            and anyio.current_time() - before < 2.0
-        )
+        duration = anyio.current_time() - before
+        polls = await count_polls(running_fronts.testbeds[others[0]])
+        assert polls == counts[others[0]] and duration < 2.0
         # The reader dies: each front polls itself until another is the reader.
         running_fronts.testbeds[reader].process.kill()
         await running_fronts.wait_for_owner(reader, task="list")
-        for front in running_fronts.testbeds:
-            ready = front.endpoint_entry("cache-2", status="active")
-            front.add_event(fleet={"index": 3, "snapshot": False, "endpoints": [ready]})
+        ready = running_fronts.testbeds[0].endpoint_entry("cache-2", status="active")
+        running_fronts.add_event(fleet={"index": 3, "snapshot": False, "endpoints": [ready]})
         for index in others:
             await wait_for_verdict(running_fronts, index, False)
 
@@ -150,8 +153,8 @@
         await running_fronts.links[other].set_cut()
         front = running_fronts.testbeds[other]
         drained = front.endpoint_entry("cache-2", status="leaving")
-        front.add_event(fleet={"index": 2, "snapshot": False, "endpoints": [drained]})
-        await front.wait_for_poll_since(2)  # within the bound of 2.5 s and a poll
+        running_fronts.add_event(fleet={"index": 2, "snapshot": False, "endpoints": [drained]})
+        await front.logged(b"discovery: applied event 2")  # within the bound of 2.5 s and a poll
         await wait_for_verdict(running_fronts, other, True)
 
 
--- a/tests/test_limits_fronts.py
+++ b/tests/test_limits_fronts.py
@@ -61,9 +61,8 @@
         if limits:
             await running_fronts.wait_for_owner(task="limits")
         running_fronts.cold_at = time.monotonic()
-        for front in running_fronts.testbeds:
-            restarted_line = front.endpoint_entry("cache-2", since_ms=time.time() * 1000.0)
-            front.add_event(fleet={"index": 2, "snapshot": False, "endpoints": [restarted_line]})
+        restarted_line = running_fronts.testbeds[0].endpoint_entry("cache-2", since_ms=time.time() * 1000.0)
+        running_fronts.add_event(fleet={"index": 2, "snapshot": False, "endpoints": [restarted_line]})
         async with anyio.create_task_group() as tasks:
             for index in range(FRONTS):
                 tasks.start_soon(
