Refuse a bound by which an event of discovery could become known too late

What callers would see: requests to a draining endpoint for longer than the protocol allows, after the reader of the event log has died.

Cause: fleet.log.bound had no upper limit, though a front that relies on the reader can learn of an event by that much later.

Change: the file is refused where round_trip, refresh, bound and an own poll (0.7 s) together exceed the 7 s of the protocol; the message gives the sum.

--- a/cometseam/operator/fleet.py
+++ b/cometseam/operator/fleet.py
@@ -21,6 +21,11 @@
 LIMITS_TASK = "limits"
 TASK_NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}")
 MS_PER_SECOND = 1000.0
+# By the protocol an event counts as received so long after it was logged, whether or not it arrived.
+MAX_EVENT_DELAY_MS = 7000.0
+# The longest that a front takes to poll the log once it stops relying on the reader: it checks that every
+# 50 ms, a first connection may stay silent, and the second one is established and answered.
+OWN_POLL_MS = 700.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,10 +75,7 @@
             continue
         tasks[name] = terms
     probing = _probe_terms(form, tasks, report_fault)
-    if form.log is not None and LIST_TASK not in form.tasks:
-        report_fault(
-            ("fleet", "log"), f"fleet.tasks has no {LIST_TASK!r}: nobody would read the log for the others"
-        )
+    _check_log(form, report_fault)
     _check_limits(form, settings, report_fault)
     relays = form.limits.relays if form.limits is not None else None
     return {
@@ -89,6 +91,25 @@
     }
 
 
+def _check_log(form: FleetForm, report_fault: Callable[[Path, str], None]) -> None:
+    """Check that someone reads the log, and that every event is known in time if that front dies."""
+    if form.log is None:
+        return
+    if LIST_TASK not in form.tasks:
+        report_fault(
+            ("fleet", "log"), f"fleet.tasks has no {LIST_TASK!r}: nobody would read the log for the others"
+        )
+    delay = form.round_trip + form.refresh + form.log.bound + OWN_POLL_MS
+    if delay > MAX_EVENT_DELAY_MS:
+        report_fault(
+            ("fleet", "log", "bound"),
+            f"an event could become known {delay:g} ms after it was logged, "
+            f"{MAX_EVENT_DELAY_MS:g} ms at most: "
+            f"round_trip {form.round_trip:g} + refresh {form.refresh:g} + bound {form.log.bound:g} "
+            f"+ an own poll {OWN_POLL_MS:g}",
+        )
+
+
 def _check_limits(form: FleetForm, settings: Settings, report_fault: Callable[[Path, str], None]) -> None:
     limits = form.limits
     if limits is None:
--- a/tests/test_log_moves.py
+++ b/tests/test_log_moves.py
@@ -12,13 +12,18 @@
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
+from pathlib import Path
 
 import anyio
 import pytest
 
-from cometseam.discovery import ConfirmationPolicy, ConfirmationTracker
+from cometseam.discovery import ConfirmationPolicy, ConfirmationTracker, PollPolicy
+from cometseam.discovery.client import PASSIVE_CHECK_INTERVAL_MS
+from cometseam.operator import OperatorFileError
+from cometseam.operator.fleet import OWN_POLL_MS
+from cometseam.operator.load import load
 from cometseam.ownership import LogPollGate, LogSource
-from tests.drive import FrontTestbed
+from tests.drive import SAMPLE, FrontTestbed
 from tests.standins.discovery import Discovery
 from tests.standins.fronts import Fronts, fronts
 
@@ -171,6 +176,30 @@
     assert tracker.poll_answered(2, 9020.0) is not None and tracker.remaining_wait(9020.0) == 0.0
 
 
+def load_faults(folder: Path, bound: str) -> str:
+    """Return the faults of an operator's file with this `fleet.log.bound`, empty if it has none."""
+    path = folder / "operator.jsonnet"
+    task = "list: { ttl: '3s', margin: '500ms', renew: '500ms' }"
+    fleet = f"service: '127.0.0.1:2379', tasks: {{ {task} }}, log: {{ bound: '{bound}' }}"
+    path.write_text(f"{{ version: 1, fleet: {{ {fleet} }} }}")
+    try:
+        load(path, SAMPLE["settings"])
+    except OperatorFileError as error:
+        return "\n".join(str(fault) for fault in error.faults)
+    return ""
+
+
+def test_bound_by_which_an_event_could_be_known_too_late_is_rejected_at_load(tmp_path: Path) -> None:
+    """Guards against a term that makes a drain known later than the protocol counts it as received."""
+    assert load_faults(tmp_path, "5200ms") == ""
+    faults = load_faults(tmp_path, "5300ms")
+    assert "known 7100 ms after it was logged, 7000 ms at most" in faults
+    assert "round_trip 100 + refresh 1000 + bound 5300 + an own poll 700" in faults
+    policy = PollPolicy()
+    own_poll = policy.connect_allowance + policy.connection_interval + policy.quick_allowance
+    assert own_poll + PASSIVE_CHECK_INTERVAL_MS == OWN_POLL_MS
+
+
 # Real fronts
 
 
