Close idle connections for new clients in every state at the limit

Cause: an idle connection was looked for only while none was being closed, and where all connections were in use the listener returned before it closed the one that it had found. So nothing made room until idle connections were overdue after 4.5 s; the same after SIGHUP had lowered the limit.

Change: a module without I/O decides between accepting, ending the oldest closing connection, closing the longest idle one and waiting. Idle connections are closed whenever more are in use than may be. It works because in every state a place is free, a close is under way that ends within 50 ms, or every connection is in use by a client that still has to be served.

--- a/cometseam/transport/listener.py
+++ b/cometseam/transport/listener.py
@@ -7,15 +7,19 @@
 
 from cometseam.counters import COUNTERS
 from cometseam.events import log_event
+from cometseam.transport.admission import (
+    Admission,
+    ConnectionLoad,
+    decide_admission,
+    has_excess,
+)
 from cometseam.transport.buffers import BufferPool, RequestBuffers
 from cometseam.transport.client import Client, PullHandler
 from cometseam.transport.clock import Clock
 
 CHECK_INTERVAL_S = 0.25  # between two checks for overdue and stalled connections
 MAX_ACCEPTS_PER_TURN = 16  # connections accepted in one turn of the loop
-CLOSING_DIVISOR = 16  # with those being closed, `max_clients` may be exceeded by a 16th
-# By the protocol, input sent before a client saw the close of its connection may arrive for this long.
-CLOSE_CROSSING_MS = 50.0
+MAX_CLOSES_PER_TURN = 16  # idle connections closed in one turn to make room for a client
 
 
 class Listener:
@@ -34,7 +38,7 @@
         self._first_pull_timeout = first_pull_timeout  # ms, from accepting a connection
         self.clients: set[Client] = set()  # removed when the connection is closed
         # Connections being closed, and since when; they are still read up to a bound. They hold descriptors:
-        # with `clients` there are at most `_max_connections`; beyond that the oldest is closed at once.
+        # with `clients` there are at most `max_connections`; beyond that the oldest is closed at once.
         self._closing: dict[Client, float] = {}
         self._tasks: TaskGroup | None = None
         self._draining = False
@@ -52,30 +56,22 @@
                 await anyio.wait_readable(self._sock)
             except (anyio.ClosedResourceError, ValueError, OSError):
                 return  # closed by `begin_shutdown`
-            for _ in range(MAX_ACCEPTS_PER_TURN):
-                accepted = self.accept()
+            for index in range(MAX_ACCEPTS_PER_TURN):
+                accepted = self.accept(is_client_waiting=not index)
                 if accepted is None:
                     await anyio.sleep(0.01)  # limit reached, or no descriptor: wait for connections to end
                 if not accepted:
                     break
 
-    def accept(self) -> bool | None:
-        """Accept one connection; return False if none waits, None if it cannot be accepted now."""
+    def accept(self, is_client_waiting: bool = False) -> bool | None:
+        """Accept one connection; return False if none waits, None if it cannot be accepted now.
+
+        `is_client_waiting`: a client is known to wait, so that idle connections may be closed to make room.
+        """
         if self._tasks is None or self._sock.fileno() < 0:
             return False
-        connection_count = len(self.clients) + len(self._closing)
-        idle_client = (
-            self._longest_idle() if connection_count >= self.max_clients and not self._closing else None
-        )
-        if connection_count >= self.max_clients and idle_client is None and not self._closing:
+        if not self._make_room(is_client_waiting):
             return None
-        if connection_count >= self._max_connections:
-            # The descriptor is needed now. After CLOSE_CROSSING_MS a reset can destroy nothing any more.
-            oldest_closing, closing_since = next(iter(self._closing.items()), (None, 0.0))
-            if oldest_closing is None or self._clock.now() - closing_since < CLOSE_CROSSING_MS:
-                return None
-            del self._closing[oldest_closing]
-            oldest_closing.close("connection limit reached while it was closing")
         try:
             sock, (address, *_) = self._sock.accept()
             client = Client(sock, self._buffers, self._clock, self._pull_handler, address)
@@ -89,18 +85,50 @@
             log_event("client.not_accepted", why=str(error))
             return None
         COUNTERS.add("client.accepted")
-        if idle_client is not None:
-            COUNTERS.add("client.gave_place")
-            self._close_client(idle_client, "idle, closed for a new client")
         self.clients.add(client)
+        self._close_excess()
         COUNTERS.record_max("client.connections", len(self.clients))
         self._tasks.start_soon(self._serve, client)
         return True
 
-    @property
-    def _max_connections(self) -> int:
-        """Return how many connections it may hold, including those being closed."""
-        return self.max_clients + max(self.max_clients // CLOSING_DIVISOR, 1)
+    def _make_room(self, is_client_waiting: bool) -> bool:
+        """Make room for a connection if that is possible now; return whether there is room."""
+        closes_left = MAX_CLOSES_PER_TURN if is_client_waiting else 0
+        while True:
+            match decide_admission(self.max_clients, self._load()):
+                case Admission.ACCEPT:
+                    return True
+                case Admission.END_OLDEST_CLOSING:
+                    oldest = next(iter(self._closing))
+                    del self._closing[oldest]
+                    oldest.close("connection limit reached while it was closing")
+                case Admission.CLOSE_LONGEST_IDLE if closes_left:
+                    closes_left -= 1
+                    self._close_longest_idle()
+                case _:
+                    return False
+
+    def _load(self) -> ConnectionLoad:
+        """Return the present connections; idle ones are looked for only at the limit."""
+        in_use, closing = len(self.clients), len(self._closing)
+        is_full = in_use + closing >= self.max_clients
+        closing_since = next(iter(self._closing.values()), self._clock.now())
+        return ConnectionLoad(
+            in_use, closing, is_full and self._longest_idle() is not None, self._clock.now() - closing_since
+        )
+
+    def _close_excess(self) -> None:
+        """Close the longest idle connections while more are in use than may be."""
+        while has_excess(self.max_clients, len(self.clients)) and self._close_longest_idle():
+            pass
+
+    def _close_longest_idle(self) -> bool:
+        """Close the longest idle connection for a new client; return False if none is idle."""
+        idle_client = self._longest_idle()
+        if idle_client is not None:
+            COUNTERS.add("client.gave_place")
+            self._close_client(idle_client, "idle, closed for a new client")
+        return idle_client is not None
 
     def _longest_idle(self) -> Client | None:
         """Return the longest idle connection that may be closed for a new client, or None."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -23,10 +23,11 @@
 from cometseam.logic import Front
 from cometseam.program import _drain
 from cometseam.routing.actor import CLIENT_CHECK_AFTER_MS, Router
+from cometseam.transport.admission import CLOSE_CROSSING_MS, max_connections
 from cometseam.transport.attempt import EndReason
 from cometseam.transport.buffers import BufferPool
 from cometseam.transport.client import Client
-from cometseam.transport.listener import CLOSE_CROSSING_MS, Listener
+from cometseam.transport.listener import Listener
 from tests.drive import SETTINGS, Cache, FrontDriver, FrontTestbed, client_request, frame, front_testbed, resp
 from tests.test_actors import CONFIG, LISTING, Caller
 from tests.test_actors import order as ordered
@@ -330,7 +331,7 @@
         assert listener.accept() is None  # input of the first may still cross its close
         clock.now_ms += CLOSE_CROSSING_MS
         assert await accept_waiting(listener)  # now its descriptor is reclaimed
-        assert len(listener.clients) + len(listener._closing) <= listener._max_connections == 2
+        assert len(listener.clients) + len(listener._closing) <= max_connections(listener.max_clients) == 2
         for sock in socks:
             sock.close()
         listener.begin_shutdown()
