Show each kind of failing call before kinds are drawn

A fault of the test's draw.

Change: the first failures of a call show each of its errors once, then they are drawn as before; how often calls fail is unchanged.

--- a/tests/standins/failing_calls.py
+++ b/tests/standins/failing_calls.py
@@ -29,9 +29,13 @@
 
 
 def fail_sometimes(call: str, errors: list[str]) -> None:
-    """Raise one of the errors, with the probability that the schedule gives for the call."""
+    """Raise one of the errors, with the probability that the schedule gives for the call.
+
+    The first failures of a call show each error once; which one follows is drawn.
+    """
     if ACTIVE and RANDOM.random() < SCHEDULE["share"].get(call, 0.0):
-        name = RANDOM.choice(errors)
+        drawn = RANDOM.choice(errors)
+        name = next((each for each in errors if not COUNTS[f"{call} {each}"]), drawn)
         COUNTS[f"{call} {name}"] += 1
         number = getattr(errno, name)
         raise OSError(number, os.strerror(number))
