Pause a front only around the end of its poll in the test of a pause past a poll

A fault of the test's timing.

Change: the pause begins 0.3 s before the poll is answered. That it had not been answered by then is asserted; the empty answer within the pause, the drain after it and the grace are as before.

--- a/tests/test_unconfirmed_list.py
+++ b/tests/test_unconfirmed_list.py
@@ -37,6 +37,7 @@
 from tests.test_leaving import is_stopped
 
 pytestmark = pytest.mark.anyio
+PAUSE_BEFORE_ANSWER_S = 0.3  # by which a pause begins before discovery answers the poll
 CLIENTS = 20
 DISCOVERY_ROUND_TRIP_S = 0.3
 READY, READINESS = 32, 33
@@ -127,9 +128,12 @@
         assert await count_served(await send_from_all_clients(scenario)) == CLIENTS
         await wait_for_held_poll(discovery)
         poll = discovery.polls[-1]
+        # Requests wait for discovery for 2.4 s, which a pause of a whole poll comes close to.
+        await anyio.sleep(poll.asked_at + poll.hold - PAUSE_BEFORE_ANSWER_S - time.monotonic())
         scenario.testbed.process.send_signal(signal.SIGSTOP)
         while not is_stopped(scenario.testbed.process.pid):
             await anyio.sleep(0.001)
+        assert not poll.answered_at
         await discovery.notifier.wait_until(lambda: poll.answered_at)
         discovery.delay = DISCOVERY_ROUND_TRIP_S / 2
         discovery.drain(scenario.testbed.endpoint_entry(DRAINING))
