Play the pause of a whole poll again, beside the short one

Change: both are played. After the short one all requests must be served; after the long one each must be answered, served or shed, since requests wait 2.4 s for discovery at most. Nothing may go to the draining endpoint after the grace in either.

--- a/tests/test_unconfirmed_list.py
+++ b/tests/test_unconfirmed_list.py
@@ -37,7 +37,6 @@
 from tests.test_leaving import is_stopped
 
 pytestmark = pytest.mark.anyio
-PAUSE_BEFORE_ANSWER_S = 0.3  # by which a pause begins before discovery answers the poll
 CLIENTS = 20
 DISCOVERY_ROUND_TRIP_S = 0.3
 READY, READINESS = 32, 33
@@ -119,17 +118,20 @@
         assert waited < POLICY.start_wait / 1000.0 + 0.2
 
 
+@pytest.mark.parametrize("paused_before_answer_s", [0.3, 1.45])
 async def test_front_paused_past_its_poll_sends_nothing_before_discovery_answers(
-    tmp_path: Path,
+    paused_before_answer_s: float, tmp_path: Path
 ) -> None:
-    """The poll got an empty answer while the front was paused; the endpoint drained after that."""
+    """The poll got an empty answer while the front was paused; the endpoint drained after that.
+
+    Requests wait for discovery for 2.4 s. A pause of a whole poll comes close to that, so they may be shed.
+    """
     async with drain_scenario(tmp_path) as scenario:
         discovery = scenario.discovery
         assert await count_served(await send_from_all_clients(scenario)) == CLIENTS
         await wait_for_held_poll(discovery)
         poll = discovery.polls[-1]
-        # Requests wait for discovery for 2.4 s, which a pause of a whole poll comes close to.
-        await anyio.sleep(poll.asked_at + poll.hold - PAUSE_BEFORE_ANSWER_S - time.monotonic())
+        await anyio.sleep(poll.asked_at + poll.hold - paused_before_answer_s - time.monotonic())
         scenario.testbed.process.send_signal(signal.SIGSTOP)
         while not is_stopped(scenario.testbed.process.pid):
             await anyio.sleep(0.001)
@@ -142,7 +144,8 @@
         await anyio.sleep(GRACE_S + 0.05)
         scenario.testbed.process.send_signal(signal.SIGCONT)
         assert poll.told == 1  # the intended overlap occurred
-        assert await count_served(callers) == CLIENTS
+        codes = [(await caller.next()).code for caller in callers]
+        assert set(codes) <= ({1} if paused_before_answer_s < 1.0 else {1, 2})
         assert scenario.late_commands(drained_at + GRACE_S) == []
 
 
