--- a/tests/standins/failing_calls.py
+++ b/tests/standins/failing_calls.py
@@ -18,6 +18,7 @@
 SCHEDULE = json.loads(os.environ["TEST_CALLS"])
 RANDOM = random.Random(SCHEDULE["seed"])
 COUNTS: Counter[str] = Counter()
+FAILED_CALLS: set[str] = set()  # that have failed at least once
 ACCEPT_ERRORS = ["ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EINTR"]
 SOCKET_ERRORS = ["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"]
 CONNECT_ERRORS = ["EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "EAGAIN"]
@@ -31,9 +32,12 @@
 def fail_sometimes(call: str, errors: list[str]) -> None:
     """Raise one of the errors, with the probability that the schedule gives for the call.
 
-    The first failures of a call show each error once; which one follows is drawn.
+    The first call that may fail does. The first failures of a call show each error once; which one follows
+    is drawn.
     """
-    if ACTIVE and RANDOM.random() < SCHEDULE["share"].get(call, 0.0):
+    share = SCHEDULE["share"].get(call, 0.0)
+    if ACTIVE and (RANDOM.random() < share or (share and call not in FAILED_CALLS)):
+        FAILED_CALLS.add(call)
         drawn = RANDOM.choice(errors)
         name = next((each for each in errors if not COUNTS[f"{call} {each}"]), drawn)
         COUNTS[f"{call} {name}"] += 1
