Free ended attempts and their requests without the garbage collector

Cause: an attempt refers to its outgoing message, whose may_begin refers to the attempt; finish() released the other callback only. Timers beside the time-out and the loops' last message kept ended requests as well.

Change: a finished message releases both callbacks, an attempt's timers are cancelled with it, and the loops keep no message. Nothing then refers to an ended attempt, so that reference counting frees it.

--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -266,13 +266,17 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                message = await self._mailbox.take(self._hold_requests)
-                self.read_discovery()  # its events apply even if the front reads them late
-                try:
-                    self._handle(message)
-                except Exception as error:
-                    COUNTERS.add("routing.exception")
-                    log_event("actor.failed", error, kind=type(message).__name__)
+                # No variable here refers to the message, which would stay in memory until the next one.
+                self._handle_safely(await self._mailbox.take(self._hold_requests))
+
+    def _handle_safely(self, message: Message) -> None:
+        """Handle a message; an exception is logged and ends nothing but the handling of this one."""
+        self.read_discovery()  # its events apply even if the front reads them late
+        try:
+            self._handle(message)
+        except Exception as error:
+            COUNTERS.add("routing.exception")
+            log_event("actor.failed", error, kind=type(message).__name__)
 
     def _hold_requests(self) -> float:
         """Return for how many more ms at most requests are held until discovery has confirmed the list.
--- a/cometseam/transport/attempt.py
+++ b/cometseam/transport/attempt.py
@@ -35,7 +35,7 @@
     body: list[memoryview]
     queued_at: float
     deadline: float
-    timer: Timer | None = None
+    timers: list[Timer] = field(default_factory=list)  # they end it or withdraw it
     channel: "Channel | None" = None
     outgoing: OutgoingMessage | None = None
     written_at: float = 0.0  # 0: not fully written
@@ -56,6 +56,12 @@
         """Return whether writing may begin: its client waits, and a repeat would still be deduplicated."""
         return self.is_client_waiting() and self.wanted and now <= self.begin_by
 
+    def cancel_timers(self) -> None:
+        """Cancel its timers, which would keep it and its request in memory until they are due."""
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
+
 
 @dataclass(slots=True)
 class GiveUp:
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -39,8 +39,12 @@
         self.may_begin: Callable[[], bool] | None = None  # called before the first byte; False drops it
 
     def finish(self, is_complete: bool) -> None:
-        """Report once whether the message was fully written, and release its chunks."""
-        on_done, self.on_done, self.chunks = self.on_done, None, []
+        """Report once whether the message was fully written, and release its chunks and callbacks.
+
+        The callbacks refer to what was sent, which refers to the message: without the release it would all
+        stay in memory until the garbage collector runs.
+        """
+        on_done, self.on_done, self.may_begin, self.chunks = self.on_done, None, None, []
         if on_done is not None:
             on_done(is_complete)
 
@@ -124,7 +128,8 @@
         self._outgoing.append(message)
         if len(self._outgoing) == 1:
             self._write()
-        message.may_begin = may_begin
+        if not message.begun and message in self._outgoing:
+            message.may_begin = may_begin
         return message
 
     def withdraw(self, message: OutgoingMessage) -> bool:
--- a/cometseam/transport/peer.py
+++ b/cometseam/transport/peer.py
@@ -45,17 +45,20 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                message = await self.mailbox.take()
-                try:
-                    if isinstance(message, Attempt):
-                        self._start_attempt(message)
-                    else:
-                        self._give_up(message)
-                except Exception as error:
-                    COUNTERS.add("peer.exception")
-                    log_event("peer.message_failed", error, peer=self.name)
-                    if isinstance(message, Attempt):
-                        self.finish_attempt(message, EndReason.UNCONNECTED)
+                # No variable here refers to the message, which would stay in memory until the next one.
+                self._handle(await self.mailbox.take())
+
+    def _handle(self, message: Attempt | GiveUp) -> None:
+        try:
+            if isinstance(message, Attempt):
+                self._start_attempt(message)
+            else:
+                self._give_up(message)
+        except Exception as error:
+            COUNTERS.add("peer.exception")
+            log_event("peer.message_failed", error, peer=self.name)
+            if isinstance(message, Attempt):
+                self.finish_attempt(message, EndReason.UNCONNECTED)
 
     @property
     def is_idle(self) -> bool:
@@ -65,16 +68,16 @@
     def _start_attempt(self, attempt: Attempt) -> None:
         check_invariant(attempt.pull_number not in self._in_flight, "one relay of a pull out at a time")
         self._in_flight[attempt.pull_number] = attempt
-        attempt.timer = self.resources.timers.call_at(
-            attempt.deadline, lambda: self._stop_attempt(attempt, EndReason.TIMED_OUT)
-        )
+        self._call_at(attempt, attempt.deadline, lambda: self._stop_attempt(attempt, EndReason.TIMED_OUT))
         if attempt.begin_by < attempt.deadline:  # it may be queued on a connection that accepts no bytes
-            self.resources.timers.call_at(
-                attempt.begin_by, lambda: self._give_up(GiveUp(attempt, if_unsent=True))
-            )
+            self._call_at(attempt, attempt.begin_by, lambda: self._give_up(GiveUp(attempt, if_unsent=True)))
         self._waiting.append(attempt)
         self.dispatch()
 
+    def _call_at(self, attempt: Attempt, due: float, run: Callable[[], None]) -> None:
+        """Call `run` at the time `due`, unless the attempt has ended by then."""
+        attempt.timers.append(self.resources.timers.call_at(due, run))
+
     def _give_up(self, message: GiveUp) -> None:
         attempt = message.attempt
         if self._in_flight.get(attempt.pull_number) is not attempt:
@@ -199,7 +202,7 @@
             if attempt in self._waiting and not self._can_place(attempt):
                 self.finish_attempt(attempt, EndReason.UNSENT)
 
-        self.resources.timers.call_at(due, end_if_waiting)
+        self._call_at(attempt, due, end_if_waiting)
 
     def _can_place(self, attempt: Attempt) -> bool:
         """Return whether an open connection may take the attempt, now or once it has room."""
@@ -259,8 +262,7 @@
         if self._in_flight.get(attempt.pull_number) is not attempt:
             return
         del self._in_flight[attempt.pull_number]
-        if attempt.timer is not None:
-            attempt.timer.cancel()
+        attempt.cancel_timers()
         if attempt.channel is None:
             if attempt in self._waiting:
                 self._waiting.remove(attempt)
