Start a connection's writing and lingering tasks only when they are needed

Cause: three tasks for each connection, two of which waited until they were cancelled: 19 KB a connection, and a cancelled task keeps its connection in a reference cycle, so that ended connections waited for the collector.

Change: the task that waits until a socket is writable starts when a write blocks, the lingering one at the close.

The new test, which ends connections with the collector off, fails on the text before and passes.

--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import anyio
+from anyio.abc import TaskGroup
 
 from cometseam.transport.buffers import BufferPool
 from cometseam.transport.clock import Clock
@@ -67,11 +68,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock, self._pool, self._clock, self._read_buffer = sock, pool, clock, read_buffer
         self._outgoing: deque[OutgoingMessage] = deque()
-        self._write_blocked = anyio.Event()
+        self._tasks: TaskGroup | None = None  # while `run` is active
+        self._is_awaiting_writable = False  # a task waits until the socket is writable
         self.write_blocked_since = 0.0  # when bytes were last accepted, or a message was queued behind none
         self._last_write_at = 0.0
         self.closed = False
-        self._close_requested = anyio.Event()  # set when the write side is to be shut down
+        self._is_close_requested = False  # the write side is to be shut down
         self._is_write_shut_down = self._ends_on_remote_close = False
         # A write failed for lack of system memory: the socket may count as writable all the same.
         self._is_short_of_memory = False
@@ -80,7 +82,7 @@
     @property
     def is_closing(self) -> bool:
         """Return whether no new message is accepted."""
-        return self.closed or self._close_requested.is_set()
+        return self.closed or self._is_close_requested
 
     @property
     def is_write_blocked(self) -> bool:
@@ -159,8 +161,7 @@
                     self.close()
                     return
                 self._is_short_of_memory = error.errno in (errno.ENOMEM, errno.ENOBUFS)
-                if not self._write_blocked.is_set():
-                    self._write_blocked.set()
+                self._start_awaiting_writable()
                 return
             self.write_blocked_since = self._last_write_at = self._clock.now()
             message.begun = True
@@ -180,12 +181,13 @@
         It may be called repeatedly; `close` closes at once.
         """
         if not self.is_closing:
-            self._close_requested.set()
+            self._is_close_requested = True
             self._shut_down_if_written()
+            self._start_lingering()
 
     def _shut_down_if_written(self) -> None:
         if (
-            self._close_requested.is_set()
+            self._is_close_requested
             and not self._outgoing
             and not self._is_write_shut_down
             and not self.closed
@@ -197,8 +199,11 @@
                 if error.errno != errno.ENOTCONN:  # it was reset: reading reports that
                     self.close()
 
+    def _start_lingering(self) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(self._linger)
+
     async def _linger(self) -> None:
-        await self._close_requested.wait()
         while self._outgoing and not self.closed:  # bounded: stalled connections are closed elsewhere
             await self._pool.wait()
         # What was written longer ago than LINGER_S is taken to have arrived.
@@ -219,14 +224,19 @@
         """
         self._ends_on_remote_close = on_remote_close is not None
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._write_when_writable)
-                tasks.start_soon(self._linger)
+            # The other tasks are started only when they are needed: most connections are idle most of the
+            # time, and each waiting task takes some KB.
+            async with anyio.create_task_group() as self._tasks:
+                if self._outgoing:
+                    self._start_awaiting_writable()
+                if self._is_close_requested:
+                    self._start_lingering()
                 await self._read(feed, may_read)
                 if on_remote_close is not None:
                     on_remote_close()
-                tasks.cancel_scope.cancel()
+                self._tasks.cancel_scope.cancel()
         finally:
+            self._tasks = None
             self.close()
 
     async def _read(self, feed: Callable[[memoryview], int], may_read: Callable[[], bool]) -> None:
@@ -277,19 +287,25 @@
         await self._pool.wait()
         return self._ends_on_remote_close and self.remote_has_closed()
 
+    def _start_awaiting_writable(self) -> None:
+        if self._tasks is not None and not self._is_awaiting_writable:
+            self._is_awaiting_writable = True
+            self._tasks.start_soon(self._write_when_writable)
+
     async def _write_when_writable(self) -> None:
-        while not self.closed:
-            await self._write_blocked.wait()
-            self._write_blocked = anyio.Event()
-            try:
+        """Write the queued messages as the socket becomes writable, until none is left."""
+        try:
+            while self._outgoing and not self.closed:
                 if self._is_short_of_memory:
                     self._is_short_of_memory = False
                     await anyio.sleep(MEMORY_RETRY_S)
                 await anyio.wait_writable(self._sock)
-            except (anyio.ClosedResourceError, ValueError, OSError):
-                return
-            if not self.closed:
-                self._write()
+                if not self.closed:
+                    self._write()
+        except (anyio.ClosedResourceError, ValueError, OSError):
+            return
+        finally:
+            self._is_awaiting_writable = False
 
     def close(self) -> None:
         """Close the connection at once; messages not fully written are reported as such."""
@@ -298,7 +314,6 @@
         self.closed = True
         anyio.notify_closing(self._sock)
         self._sock.close()
-        self._close_requested.set()
-        self._write_blocked.set()
+        self._is_close_requested = True
         while self._outgoing:
             self._outgoing.popleft().finish(False)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -20,9 +20,9 @@
 from cometseam.routing.actor import OpenPull, Router
 from cometseam.transport.attempt import Attempt
 from cometseam.transport.client import Client
-from cometseam.transport.connection import OutgoingMessage
+from cometseam.transport.connection import Connection, OutgoingMessage
 from tests.test_actors import CONFIG, LISTING, Caller, order
-from tests.test_endings import TAG, PeerHarness, one_peer, run_other_tasks
+from tests.test_endings import TAG, PeerHarness, client_listener, one_peer, run_other_tasks
 
 pytestmark = pytest.mark.anyio
 REQUESTS = 20
@@ -92,3 +92,19 @@
                 await anyio.sleep(0.01)
             await run_other_tasks()
             assert count_objects(*REQUEST_TYPES) == {}
+
+
+async def test_ended_connections_are_freed_without_the_garbage_collector() -> None:
+    """Guards against connections kept in reference cycles where clients connect again and again."""
+    async with client_listener() as (listener, _, connect_client, _):
+        with no_garbage_collection():
+            for _ in range(REQUESTS):
+                sock = await connect_client()
+                while not listener.clients:
+                    await run_other_tasks()
+                assert count_objects(Client)["Client"] >= 1
+                sock.close()
+                while listener.clients:
+                    await run_other_tasks()
+            await run_other_tasks()
+            assert count_objects(Client, Connection) == {}
