End a connection's tasks by its close, not by cancelling them

Change: both tasks end by themselves once the connection is closed.

The new cases (closed by the front, a blocked write) fail on the text before.

--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -17,6 +17,7 @@
 # destroy answers already written (RFC 9112, 9.6).
 LINGER_S = 1.0
 LINGER_BYTES = 262144  # one message of the largest size
+LINGER_CHECK_S = 0.1  # how often a closing connection checks whether all is written
 # Errors of a call that do not concern the connection: the call is repeated, after MEMORY_RETRY_S where the
 # system lacked memory.
 TRANSIENT_ERRORS = frozenset({errno.EINTR, errno.EAGAIN, errno.ENOMEM, errno.ENOBUFS})
@@ -74,6 +75,7 @@
         self._last_write_at = 0.0
         self.closed = False
         self._is_close_requested = False  # the write side is to be shut down
+        self._ended: anyio.Event | None = None  # set at the close; there is one once it lingers
         self._is_write_shut_down = self._ends_on_remote_close = False
         # A write failed for lack of system memory: the socket may count as writable all the same.
         self._is_short_of_memory = False
@@ -201,13 +203,16 @@
 
     def _start_lingering(self) -> None:
         if self._tasks is not None:
-            self._tasks.start_soon(self._linger)
+            self._ended = anyio.Event()
+            self._tasks.start_soon(self._linger, self._ended)
 
-    async def _linger(self) -> None:
+    async def _linger(self, ended: anyio.Event) -> None:
         while self._outgoing and not self.closed:  # bounded: stalled connections are closed elsewhere
-            await self._pool.wait()
+            with anyio.move_on_after(LINGER_CHECK_S):
+                await ended.wait()
         # What was written longer ago than LINGER_S is taken to have arrived.
-        await anyio.sleep(max(LINGER_S - (self._clock.now() - self._last_write_at) / 1000.0, 0.0))
+        with anyio.move_on_after(max(LINGER_S - (self._clock.now() - self._last_write_at) / 1000.0, 0.0)):
+            await ended.wait()
         self.close()
 
     async def run(
@@ -234,7 +239,9 @@
                 await self._read(feed, may_read)
                 if on_remote_close is not None:
                     on_remote_close()
-                self._tasks.cancel_scope.cancel()
+                # Its other tasks end by themselves at the close: a cancelled task refers to its error, which
+                # refers to the task and the connection until the garbage collector runs.
+                self.close()
         finally:
             self._tasks = None
             self.close()
@@ -315,5 +322,7 @@
         anyio.notify_closing(self._sock)
         self._sock.close()
         self._is_close_requested = True
+        if self._ended is not None:
+            self._ended.set()
         while self._outgoing:
             self._outgoing.popleft().finish(False)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -22,7 +22,7 @@
 from cometseam.transport.client import Client
 from cometseam.transport.connection import Connection, OutgoingMessage
 from tests.test_actors import CONFIG, LISTING, Caller, order
-from tests.test_endings import TAG, PeerHarness, client_listener, one_peer, run_other_tasks
+from tests.test_endings import BIG_BYTES, TAG, PeerHarness, client_listener, one_peer, run_other_tasks
 
 pytestmark = pytest.mark.anyio
 REQUESTS = 20
@@ -94,7 +94,8 @@
             assert count_objects(*REQUEST_TYPES) == {}
 
 
-async def test_ended_connections_are_freed_without_the_garbage_collector() -> None:
+@pytest.mark.parametrize("how", ["the client closes", "the front closes", "the client reads nothing"])
+async def test_ended_connections_are_freed_without_the_garbage_collector(how: str) -> None:
     """Guards against connections kept in reference cycles where clients connect again and again."""
     async with client_listener() as (listener, _, connect_client, _):
         with no_garbage_collection():
@@ -102,7 +103,13 @@
                 sock = await connect_client()
                 while not listener.clients:
                     await run_other_tasks()
-                assert count_objects(Client)["Client"] >= 1
+                assert count_objects(Client)["Client"] == 1
+                client = next(iter(listener.clients))
+                if how != "the client closes":
+                    client._connection.send([bytes(1 if how == "the front closes" else BIG_BYTES)])
+                    client.close_gracefully("tested")
+                del client
+                await run_other_tasks()
                 sock.close()
                 while listener.clients:
                     await run_other_tasks()
