--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -20,6 +20,7 @@
 from cometseam.routing.actor import OpenPull, Router
 from cometseam.transport.attempt import Attempt
 from cometseam.transport.client import Client
+from cometseam.transport.clock import MAX_KEPT_CANCELLED_TIMERS, Clock, Timers
 from cometseam.transport.connection import Connection, OutgoingMessage
 from tests.test_actors import CONFIG, LISTING, Caller, order
 from tests.test_endings import BIG_BYTES, TAG, PeerHarness, client_listener, one_peer, run_other_tasks
@@ -115,3 +116,16 @@
                     await run_other_tasks()
             await run_other_tasks()
             assert count_objects(Client, Connection) == {}
+
+
+def test_cancelled_timers_do_not_pile_up() -> None:
+    """Guards against timers of answered requests that stay in memory until they would have been due."""
+    timers = Timers(Clock())
+    active = [timers.call_at(1e15 + number, lambda: None) for number in range(100)]
+    for number in range(20_000):
+        timers.call_at(1e15 + number, lambda: None).cancel()
+        assert len(timers) <= len(active) + MAX_KEPT_CANCELLED_TIMERS + 1
+    assert all(timer.is_active for timer in active)
+    active[0].cancel()
+    active[0].cancel()  # the second time it has no effect
+    assert len(timers) <= len(active) + MAX_KEPT_CANCELLED_TIMERS + 1
