Keep open pulls and request histories in less memory

Cause: a PendingPull has 31 fields, one more than the interpreter shares a dictionary's keys for, so that each had a dictionary of its own; the gaps of a history were a tuple of boxed numbers.

Change: slots for the pull, an array of numbers for the gaps.

--- a/cometseam/levels/shedding.py
+++ b/cometseam/levels/shedding.py
@@ -10,6 +10,7 @@
 
 from bisect import bisect_left
 from collections import Counter, OrderedDict, deque
+from collections.abc import Sequence
 from random import Random
 
 from cometseam.interface import Pull, ServiceLevel
@@ -140,13 +141,13 @@
                 each[1] *= COUNT_DECAY
         return shed
 
-    def may_fill(self, request_gaps: tuple[float, ...] | None, in_flight: int, limit: float) -> bool:
+    def may_fill(self, request_gaps: Sequence[float] | None, in_flight: int, limit: float) -> bool:
         """Return whether a fill may start while `in_flight` of `limit` fills run.
 
         `request_gaps`: times between the requests for the object; empty if it is seen for the first time.
         """
         level = self.service_level
-        if not level.fill_first_seen and request_gaps == ():
+        if not level.fill_first_seen and request_gaps is not None and not request_gaps:
             self.skipped_counts["first_seen_fills"] += 1
             return False
         if level.fill_limit_share < 1.0 and in_flight >= max(level.fill_limit_share * limit, 1.0):
--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -5,6 +5,7 @@
 returned actions in order (see `cometseam.interface`). Fronts share no state. All times are in ms.
 """
 
+from array import array
 from bisect import bisect_right
 from collections import OrderedDict, deque
 from collections.abc import Generator, Iterator
@@ -202,17 +203,52 @@
     """When one part of an object was requested recently."""
 
     __slots__ = ("cached_at", "last_request_at", "request_gaps", "workload")
+    NO_GAPS = array("d")
 
     def __init__(self, now: float, workload: int) -> None:
         self.last_request_at, self.workload = now, workload
         # The cache that was last given a copy, and until when that copy is fresh.
         self.cached_at: tuple[Server, float] | None = None
-        self.request_gaps: tuple[float, ...] = ()
+        self.request_gaps = self.NO_GAPS  # replaced, never changed; an array takes less than half of a tuple
 
 
 class PendingPull:
     """A pull that has no final answer yet or whose relay is still in flight."""
 
+    __slots__ = (
+        "awaiting_retry",
+        "candidate",
+        "deadline",
+        "errors",
+        "failures",
+        "fill_rejected",
+        "hash_order",
+        "history",
+        "in_flight",
+        "is_fill",
+        "is_write",
+        "joins_fill",
+        "known_misses",
+        "may_have_run",
+        "missed_by",
+        "origin_rejected",
+        "part_key",
+        "plan",
+        "pull",
+        "rank",
+        "rejected_by",
+        "relay_count",
+        "retry_budgets",
+        "sending_time",
+        "sent_at",
+        "sequence",
+        "slowdown_at_send",
+        "source_work",
+        "target_at",
+        "unanswered",
+        "workload",
+    )
+
     def __init__(
         self, pull: Pull, workload: Workload, now: float, stream_rate: float, plans: ActivePlans
     ) -> None:
@@ -454,10 +490,8 @@
             return 0
         pending.history = history
         self.histories.move_to_end(pending.part_key)
-        history.request_gaps = (
-            *history.request_gaps[1 - MAX_REQUEST_GAPS :],
-            max(self.now - history.last_request_at, MIN_REQUEST_GAP_MS),
-        )
+        gap = max(self.now - history.last_request_at, MIN_REQUEST_GAP_MS)
+        history.request_gaps = history.request_gaps[1 - MAX_REQUEST_GAPS :] + array("d", (gap,))
         history.last_request_at = self.now
         size_bytes = max(pull.size_kb * 1024.0, 3.0)
         value = (
