Accept requests only while there is memory for them, and divide the limit by a plan

Cause: payloads that lie whole in one read, and the objects of open requests, were bounded by number alone: 8,192 requests at 512 descriptors. The pool took half of what was left, and nothing said what the other half had to hold.

Change: cometseam/memory divides the limit from what the process takes at its start. A request reserves 7 KB and its payload until it is freed; a client may hold a quarter of what is free. Connections leave less for requests.

--- a/cometseam/counters.py
+++ b/cometseam/counters.py
@@ -7,9 +7,14 @@
 from contextlib import suppress
 
 
-def private_memory_bytes() -> int:
-    """Return the resident memory of the process in bytes, without pages shared with files."""
-    with open("/proc/self/statm") as file:
+def memory_bytes_of(process: int | str = "self") -> int:
+    """Return the memory of a process in bytes that no other process shares.
+
+    Where the system does not tell that, pages of files count as shared.
+    """
+    with suppress(OSError), open(f"/proc/{process}/smaps_rollup") as file:
+        return 1024 * sum(int(line.split()[1]) for line in file if line.startswith("Private_"))
+    with open(f"/proc/{process}/statm") as file:
         _, resident, shared, *_ = map(int, file.read().split())
     return (resident - shared) * resource.getpagesize()
 
--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -10,11 +10,12 @@
 
 from cometseam import signals
 from cometseam.config import Config, read_config
-from cometseam.counters import COUNTERS, private_memory_bytes
+from cometseam.counters import COUNTERS, memory_bytes_of
 from cometseam.discovery import ConfirmationPolicy, DiscoveryClient, PollPolicy
 from cometseam.events import log_event
 from cometseam.json_section import FieldError
 from cometseam.logic import Front
+from cometseam.memory import RequestBudget, plan_memory
 from cometseam.operator import CompiledConfig, OperatorFileError
 from cometseam.routing.actor import Router
 from cometseam.tracing import TraceMode, Tracer
@@ -34,7 +35,6 @@
 KILL_GRACE_MS = 700.0
 MAX_COUNTED_DEADLINE_MS = 3000.0
 Actor = Callable[[], Coroutine[Any, Any, None]]
-BUFFER_POOL_DIVISOR = 2  # the buffer pool gets the memory left by the interpreter, divided by this
 GC_THRESHOLD_OBJECTS = 20000  # net new objects between two runs of the garbage collector
 DRAIN_CHECK_INTERVAL_MS = 10.0  # interval for checking for unanswered pulls while draining
 MAX_LOGGED_FAULTS = 50  # logged faults per operator's file
@@ -45,13 +45,17 @@
     signals.install_handlers()  # before listening: no signal may end a front that has accepted a connection
     clock = Clock()
     timers = Timers(clock)
-    interpreter_bytes = private_memory_bytes()
-    pool = BufferPool((config.memory_limit - interpreter_bytes) // BUFFER_POOL_DIVISOR)
-    resources = ProcessResources(config.links, pool, clock, timers, ConnectionLimit(config.max_peers))
+    gc.collect()
+    used_at_start = memory_bytes_of()
+    memory = plan_memory(config.memory_limit, used_at_start)
+    pool, budget = BufferPool(memory.pool_bytes), RequestBudget(memory.request_bytes)
+    resources = ProcessResources(config.links, pool, clock, timers, ConnectionLimit(config.max_peers), budget)
     front = Front(config.seed, config.settings)
     tracer = Tracer(TraceMode(config.trace_mode), max_open=config.max_clients * MAX_OPEN_PULLS)
     router = Router(front, config.names, config.max_clients * MAX_OPEN_PULLS, resources, config.seed, tracer)
-    listener = Listener(config.listen, config.max_clients, pool, clock, router, config.links.connect_timeout)
+    listener = Listener(
+        config.listen, config.max_clients, pool, clock, router, config.links.connect_timeout, budget
+    )
     # If buffers run short, clients are closed that have read nothing for as long as the connect timeout.
     pool.on_shortage = lambda: listener.close_stalled(config.links.connect_timeout)
     poll_policy = PollPolicy.for_drain_grace(config.links.drain_grace)
@@ -93,7 +97,9 @@
                 _log_counters("asked", router)
                 continue
             if (new_config := _reload_config(config)) is not None:
-                pool.resize((new_config.memory_limit - interpreter_bytes) // BUFFER_POOL_DIVISOR)
+                memory = plan_memory(new_config.memory_limit, used_at_start)
+                pool.resize(memory.pool_bytes)
+                budget.capacity = memory.request_bytes
                 listener.max_clients = new_config.max_clients
                 resources.connection_limit.maximum = new_config.max_peers
                 discovery.set_address(new_config.discovery_address)
--- a/cometseam/protocol/__init__.py
+++ b/cometseam/protocol/__init__.py
@@ -12,8 +12,18 @@
     """The peer sent something that the protocol does not allow."""
 
 
-class Body(Protocol):
-    """Buffer for the bytes of one message."""
+class StoredBody(Protocol):
+    """The bytes of one message."""
+
+    def views(self, start: int = 0) -> list[memoryview]:
+        """Return the bytes from `start` on, in pieces."""
+
+    def free(self) -> None:
+        """Release the memory; the body must not be used afterwards."""
+
+
+class Body(StoredBody, Protocol):
+    """Buffer for the bytes of one message, filled as they arrive."""
 
     def write(self, data: memoryview) -> int:
         """Append the bytes that are still missing from the start of `data`; return how many were consumed."""
@@ -21,12 +31,6 @@
     def is_complete(self) -> bool:
         """Return whether all bytes of the message have been written."""
 
-    def views(self, start: int = 0) -> list[memoryview]:
-        """Return the bytes from `start` on, in pieces."""
-
-    def free(self) -> None:
-        """Release the buffer; the body must not be used afterwards."""
-
 
 # Returns a buffer for a number of bytes; None if none is available now, and the caller has to retry later.
 BodyAllocator = Callable[[int], Body | None]
--- a/cometseam/protocol/frames.py
+++ b/cometseam/protocol/frames.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from cometseam.protocol import Body, BodyAllocator, ProtocolError
+from cometseam.protocol import Body, BodyAllocator, ProtocolError, StoredBody
 from cometseam.protocol.bodies import DiscardedBody, SmallBody
 
 FRAME_HEAD = struct.Struct(">IBI")
@@ -41,7 +41,7 @@
     type: int
     stream: int
     payload: bytes = b""
-    payload_buffer: Body | None = None
+    payload_buffer: StoredBody | None = None
     is_discarded: bool = False  # the payload was not kept: there was no buffer for it
 
     def parse_fields(self) -> tuple[dict[str, str], int]:
--- a/cometseam/transport/buffers.py
+++ b/cometseam/transport/buffers.py
@@ -6,6 +6,7 @@
 import anyio
 
 from cometseam.counters import COUNTERS, check_invariant
+from cometseam.memory import RequestBudget
 
 # An eighth of the largest message: small messages waste little, large ones need few buffers.
 BUFFER_SIZE_BYTES = 32768
@@ -134,14 +135,14 @@
 
 
 class RequestBuffers:
-    """The buffers for the input of all clients.
+    """The buffers and the memory for the input of all clients.
 
     Reading takes none of the pool, and incomplete requests a part of it at most: clients that leave theirs
     incomplete delay neither the input of others nor the answers of endpoints.
     """
 
-    def __init__(self, pool: BufferPool, reclaim: Callable[[], bool]) -> None:
-        self.pool = pool
+    def __init__(self, pool: BufferPool, reclaim: Callable[[], bool], budget: RequestBudget) -> None:
+        self.pool, self.budget = pool, budget
         self.quota = BufferQuota(pool, REQUEST_QUOTA_DIVISOR, reclaim)
         self.read_buffer = bytearray(BUFFER_SIZE_BYTES)
 
--- a/cometseam/transport/channel.py
+++ b/cometseam/transport/channel.py
@@ -129,6 +129,7 @@
             return
         COUNTERS.add("peer.connected")
         self.connection = Connection(sock, self._resources.pool, self._resources.clock)
+        self._resources.budget.add_connection()
         self.used_at = self._resources.clock.now()
         try:
             self._peer.dispatch()
@@ -144,6 +145,7 @@
                 log_event(
                     "peer.connection_ended", peer=self._peer.name, why="by the peer", unanswered=unanswered
                 )
+            self._resources.budget.remove_connection()
             self._decoder.close()
             if self._silence_timer is not None:
                 self._silence_timer.cancel()
--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -5,6 +5,7 @@
 
 from cometseam.counters import COUNTERS
 from cometseam.events import log_event
+from cometseam.memory import REQUEST_BYTES, ClientAccount
 from cometseam.protocol import Body, ProtocolError
 from cometseam.protocol.frames import (
     MAX_FRAME_LENGTH,
@@ -23,6 +24,7 @@
 from cometseam.transport.buffers import RequestBuffers
 from cometseam.transport.clock import Clock
 from cometseam.transport.connection import Chunk, Connection
+from cometseam.transport.reserved_body import ReservedBody
 
 CLIENT_FRAME_TYPES = (FrameType.PULL, FrameType.HANG_UP, FrameType.READY)
 MAX_OPEN_PULLS = 32  # per connection, by the protocol
@@ -62,6 +64,7 @@
         self.address = address_number(address)  # as a number: routes and budgets may depend on it
         self._connection = Connection(sock, buffers.pool, clock, buffers.read_buffer)
         self._decoder = Decoder(buffers.quota.allocate)
+        self._account = ClientAccount(buffers.budget)
         self._clock, self._pull_handler = clock, pull_handler
         self._open_streams: set[int] = set()  # streams with an unanswered pull
         self._highest_stream = 0
@@ -251,18 +254,30 @@
         try:
             if len(self._open_streams) >= MAX_OPEN_PULLS:
                 raise ProtocolError("too many are open on this connection")
-            request = None if frame.is_discarded else read_pull_request(frame)
+            request = self._read_request(frame)
         except ProtocolError as error:
             self.reject_input(stream, str(error))
             frame.free()
             return
         self._open_streams.add(stream)
-        if request is None:
-            COUNTERS.add("pull.no_buffers")
         if request is None or not self._pull_handler.submit_pull(self, stream, request):
             self.answer_shed(stream, 0.0)
             frame.free()
 
+    def _read_request(self, frame: Frame) -> PullRequest | None:
+        """Decode a pull and reserve its memory; None if there is none for it, now or as it arrived."""
+        if frame.is_discarded:
+            COUNTERS.add("pull.no_buffers")
+            return None
+        request = read_pull_request(frame)
+        size = REQUEST_BYTES + len(frame.payload)
+        if not self._account.reserve(size):
+            COUNTERS.add("pull.no_memory")
+            return None
+        frame.payload_buffer = ReservedBody(frame.payload, frame.payload_buffer, self._account, size)
+        frame.payload = b""
+        return request
+
     def reject_input(self, stream: int, reason: str) -> None:
         """Answer with an error, process no more input, and close the connection once no pull is open.
 
--- a/cometseam/transport/listener.py
+++ b/cometseam/transport/listener.py
@@ -7,6 +7,7 @@
 
 from cometseam.counters import COUNTERS
 from cometseam.events import log_event
+from cometseam.memory import RequestBudget
 from cometseam.transport.admission import (
     Admission,
     ConnectionLoad,
@@ -31,10 +32,12 @@
 
     def __init__(
         self, address: tuple[str, int], max_clients: int, pool: BufferPool, clock: Clock,
-        pull_handler: PullHandler, first_pull_timeout: float = 0.0,
+        pull_handler: PullHandler, first_pull_timeout: float = 0.0, budget: RequestBudget | None = None,
     ) -> None:  # fmt: skip
+        """Listen on `address`; `budget`, the memory for requests and connections, is unlimited by default."""
         self.max_clients, self._clock, self._pull_handler = max_clients, clock, pull_handler
-        self._buffers = RequestBuffers(pool, self._discard_stalled_frame)
+        self._budget = budget if budget is not None else RequestBudget()
+        self._buffers = RequestBuffers(pool, self._discard_stalled_frame, self._budget)
         self._first_pull_timeout = first_pull_timeout  # ms, from accepting a connection
         self.clients: set[Client] = set()  # removed when the connection is closed
         # Connections being closed, and since when; they are still read up to a bound. They hold descriptors:
@@ -86,6 +89,7 @@
             return None
         COUNTERS.add("client.accepted")
         self.clients.add(client)
+        self._budget.add_connection()
         self._close_excess()
         COUNTERS.record_max("client.connections", len(self.clients))
         self._tasks.start_soon(self._serve, client)
@@ -160,6 +164,7 @@
             COUNTERS.add("client.exception")
             log_event("client.failed", error)
         finally:
+            self._budget.remove_connection()
             self.clients.discard(client)
             self._closing.pop(client, None)
 
--- a/cometseam/transport/resources.py
+++ b/cometseam/transport/resources.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from cometseam.memory import RequestBudget
 from cometseam.settings import NetworkSettings
 from cometseam.transport.buffers import BufferPool
 from cometseam.transport.clock import Clock, Timers
@@ -27,6 +28,7 @@
     clock: Clock
     timers: Timers
     connection_limit: ConnectionLimit  # of the connections to all peers
+    budget: RequestBudget = field(default_factory=RequestBudget)  # counts the connections to peers
     target_count: int = 1  # endpoints to which this front sends requests
     sampled_at: float = float("inf")  # when the loop's lag was last measured
     resumed_at: float = float("-inf")  # when the process last resumed after a pause
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -5,28 +5,39 @@
 """
 
 import gc
+import sys
 from collections import Counter
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import replace
+from pathlib import Path
+from random import Random
 from typing import cast
 
 import anyio
 import pytest
 
+from cometseam.counters import memory_bytes_of
 from cometseam.logic import Front
+from cometseam.memory import CONNECTION_BYTES, REQUEST_BYTES, ClientAccount, RequestBudget, plan_memory
+from cometseam.memory.plan import HISTORY_BYTES, MIN_REQUEST_BYTES, OVERHEAD_BYTES, USABLE_SHARE
 from cometseam.protocol.discovery_events import EndpointList
 from cometseam.protocol.frames import PullRequest
 from cometseam.routing.actor import OpenPull, Router
 from cometseam.transport.attempt import Attempt
-from cometseam.transport.client import Client
+from cometseam.transport.client import MAX_OPEN_PULLS, Client
 from cometseam.transport.clock import MAX_KEPT_CANCELLED_TIMERS, Clock, Timers
 from cometseam.transport.connection import Connection, OutgoingMessage
+from tests.drive import ENDS, FrontTestbed, client_request, front_testbed
+from tests.drive import Caller as RealCaller
 from tests.test_actors import CONFIG, LISTING, Caller, order
 from tests.test_endings import BIG_BYTES, TAG, PeerHarness, client_listener, one_peer, run_other_tasks
 
 pytestmark = pytest.mark.anyio
 REQUESTS = 20
+MB = 1 << 20
+BAD_CLIENTS = 100
+FLOOD_REQUESTS, FLOOD_BODY_BYTES, FLOOD_S = 100, (8000, 16000), 4.0
 REQUEST_TYPES = (OpenPull, PullRequest, Attempt, OutgoingMessage)
 
 
@@ -129,3 +140,111 @@
     active[0].cancel()
     active[0].cancel()  # the second time it has no effect
     assert len(timers) <= len(active) + MAX_KEPT_CANCELLED_TIMERS + 1
+
+
+@pytest.mark.parametrize("limit_mb", [32, 48, 64, 80, 128, 192])
+def test_parts_of_the_memory_limit_sum_up_to_less_than_it(limit_mb: int) -> None:
+    used_at_start = 21 * MB
+    plan = plan_memory(limit_mb * MB, used_at_start)
+    total = used_at_start + plan.pool_bytes + plan.request_bytes + HISTORY_BYTES + OVERHEAD_BYTES
+    assert total <= USABLE_SHARE * limit_mb * MB
+
+
+def reserve_all(account: ClientAccount, size: int) -> int:
+    """Reserve for requests until one is refused; return how many were accepted."""
+    count = 0
+    while account.reserve(size):
+        count += 1
+    return count
+
+
+@pytest.mark.parametrize("clients", [1, 10, 145, 500])
+def test_clients_that_take_all_they_can_leave_memory_for_others(clients: int) -> None:
+    """Guards against clients that flood: they leave no memory for the requests of the others."""
+    budget = RequestBudget(8 * MB)
+    accounts = [ClientAccount(budget) for _ in range(clients)]
+    for account in accounts:
+        reserve_all(account, REQUEST_BYTES + 12_000)
+    assert budget.in_use <= 8 * MB
+    assert ClientAccount(budget).reserve(REQUEST_BYTES)
+    held = [account.held for account in accounts]
+    assert max(held) <= 8 * MB / 5
+    for account in accounts:
+        account.release(account.held)
+    assert reserve_all(accounts[0], REQUEST_BYTES) >= MAX_OPEN_PULLS
+
+
+def test_connections_leave_less_memory_for_requests_but_never_none() -> None:
+    budget = RequestBudget(4 * MB)
+    for _ in range(100):
+        budget.add_connection()
+    assert budget.available == 4 * MB - 100 * CONNECTION_BYTES
+    for _ in range(900):
+        budget.add_connection()
+    assert budget.available == MIN_REQUEST_BYTES
+    for _ in range(1000):
+        budget.remove_connection()
+    budget.capacity = 0  # after SIGHUP
+    assert budget.available == MIN_REQUEST_BYTES
+
+
+async def flood(testbed: FrontTestbed, number: int) -> None:
+    """Send many whole requests at once, read what comes until the connection ends, and begin again."""
+    random = Random(number)
+    while True:
+        with suppress(*ENDS, OSError):
+            caller = await testbed.connect_client()
+            first = (number << 32) + random.getrandbits(30)
+            raw = b"".join(
+                client_request(stream, bytes(random.randint(*FLOOD_BODY_BYTES)), txn=f"{first + stream:016x}")
+                for stream in range(1, FLOOD_REQUESTS + 1)
+            )
+            try:
+                async with anyio.create_task_group() as sending:
+                    sending.start_soon(send_all, caller, raw)
+                    while not await caller.ended():
+                        pass
+                    sending.cancel_scope.cancel()
+            finally:
+                await caller.stream.aclose()
+        await anyio.sleep(0.05)
+
+
+async def send_all(caller: RealCaller, raw: bytes) -> None:
+    """Send as much as the connection takes before it ends."""
+    with suppress(*ENDS):
+        await caller.send(raw)
+
+
+async def answer_all(testbed: FrontTestbed) -> None:
+    """Answer each request as a cache that has the object."""
+    while True:
+        asked = await testbed.next_command()
+        if asked.verb == "REQ":
+            with suppress(*ENDS):
+                await asked.answer("DONE", f"tag={TAG},minted=1,why=cached", b"x" * 200)
+
+
+async def test_floods_of_whole_requests_stay_within_the_memory_limit(tmp_path: Path) -> None:
+    """Guards against whole requests outside all bounds: the front was killed for its memory.
+
+    Clients send a hundred requests at once, with bodies of 8 to 16 KB; usual clients have to be answered.
+    """
+    limit_mb = 40
+    command = [sys.executable, "-OO", "-m", "cometseam"]
+    async with front_testbed(tmp_path, command=command, memory_mb=limit_mb, sockets=512) as testbed:
+        testbed._tasks.start_soon(answer_all, testbed)
+        usual = await testbed.connect_client()
+        for number in range(BAD_CLIENTS):
+            testbed._tasks.start_soon(flood, testbed, number + 1)
+        peak, stream, began_at = 0, 0, anyio.current_time()
+        while anyio.current_time() < began_at + FLOOD_S:
+            stream += 1
+            with anyio.fail_after(2.0):
+                await usual.send(client_request(stream, limit="1500"))
+                assert (await usual.next()).code in (1, 2)
+            peak = max(peak, memory_bytes_of(testbed.process.pid))
+        counts = await testbed.read_counters()
+        assert peak <= USABLE_SHARE * limit_mb * MB
+        assert counts["pull.no_memory"] > 0  # they took all that they may
+        testbed.process.kill()
