Bound the answers that wait for a client to read them

Cause: a pull stopped counting as open once its answer was queued, and readiness checks never counted.

Change: with 64 messages waiting for it, twice what it may have open, a client gets an error and is closed.

--- a/cometseam/transport/client.py
+++ b/cometseam/transport/client.py
@@ -28,6 +28,9 @@
 
 CLIENT_FRAME_TYPES = (FrameType.PULL, FrameType.HANG_UP, FrameType.READY)
 MAX_OPEN_PULLS = 32  # per connection, by the protocol
+# Answers that wait for a client to read them. A pull is open until its answer has arrived: clients that
+# keep to the protocol cause half of that; the other half is for readiness checks.
+MAX_QUEUED_ANSWERS = 2 * MAX_OPEN_PULLS
 # The protocol wants unusable connections to be reported within 3 s of connecting: a connection that has sent
 # no complete frame, or only part of one, is closed a second earlier.
 FRAME_TIMEOUT_MS = 2000.0
@@ -227,6 +230,10 @@
             self._connection.close_gracefully()
 
     def _handle_frame(self, frame: Frame) -> None:
+        if self._connection.queued_messages >= MAX_QUEUED_ANSWERS:
+            self.reject_input(0, "too many answers are left unread")
+            frame.free()
+            return
         COUNTERS.add(
             f"client.frame.{frame.type}" if frame.type in CLIENT_FRAME_TYPES else "client.frame.unknown"
         )
--- a/cometseam/transport/connection.py
+++ b/cometseam/transport/connection.py
@@ -91,6 +91,11 @@
         """Return whether messages wait for the remote side to read."""
         return bool(self._outgoing)
 
+    @property
+    def queued_messages(self) -> int:
+        """Return how many messages wait for the remote side to read."""
+        return len(self._outgoing)
+
     def has_input(self) -> bool:
         """Return whether there is unread input."""
         try:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -662,6 +662,7 @@
     def __init__(self) -> None:
         self.accepted: list[tuple[Client, int]] = []
         self.withdrawn: list[int] = []
+        self.accepts = True  # whether pulls are accepted; others are shed by their connection
         self.notifier = Notifier()
 
     def is_ready(self) -> bool:
@@ -670,7 +671,7 @@
     def submit_pull(self, client: Client, stream: int, order: Any) -> bool:
         self.accepted.append((client, stream))
         self.notifier.notify()
-        return True
+        return self.accepts
 
     def hang_up(self, client: Client, stream: int) -> None:
         self.withdrawn.append(stream)
@@ -682,9 +683,9 @@
 
     has_unanswered = False
 
-    def submit_pull(self, client: Client, stream: int, order: Any) -> bool:
-        super().submit_pull(client, stream, order)
-        return False  # its connection sheds it
+    def __init__(self) -> None:
+        super().__init__()
+        self.accepts = False
 
     def begin_shutdown(self) -> None:
         """Do nothing: no pull is pending."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -5,6 +5,7 @@
 """
 
 import gc
+import socket
 import sys
 from collections import Counter
 from collections.abc import Iterator
@@ -25,10 +26,10 @@
 from cometseam.protocol.frames import PullRequest
 from cometseam.routing.actor import OpenPull, Router
 from cometseam.transport.attempt import Attempt
-from cometseam.transport.client import MAX_OPEN_PULLS, Client
+from cometseam.transport.client import MAX_OPEN_PULLS, MAX_QUEUED_ANSWERS, Client
 from cometseam.transport.clock import MAX_KEPT_CANCELLED_TIMERS, Clock, Timers
 from cometseam.transport.connection import Connection, OutgoingMessage
-from tests.drive import ENDS, FrontTestbed, client_request, front_testbed
+from tests.drive import ENDS, FrontTestbed, client_request, frame, front_testbed
 from tests.drive import Caller as RealCaller
 from tests.test_actors import CONFIG, LISTING, Caller, order
 from tests.test_endings import BIG_BYTES, TAG, PeerHarness, client_listener, one_peer, run_other_tasks
@@ -129,6 +130,37 @@
             assert count_objects(Client, Connection) == {}
 
 
+@pytest.mark.parametrize("request_type", ["pulls", "readiness checks"])
+async def test_answers_that_a_client_does_not_read_do_not_pile_up(request_type: str) -> None:
+    """Guards against clients that send and never read: their answers filled the memory until they stalled."""
+    async with client_listener() as (listener, handler, connect_client, _):
+        handler.accepts = False
+        sock = await connect_client(buffer=4096)
+        while not listener.clients:
+            await run_other_tasks()
+        client: Client = next(iter(listener.clients))
+        client._connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        most_queued, stream = 0, 0
+        with suppress(OSError):
+            while stream < 40_000 and not client._is_closing:
+                frames = [
+                    frame(32, stream + index, b"\0")
+                    if request_type == "readiness checks"
+                    else client_request(stream + index)
+                    for index in range(1, 101)
+                ]
+                stream += len(frames)
+                raw = b"".join(frames)
+                while raw:
+                    with suppress(BlockingIOError):
+                        raw = raw[sock.send(raw) :]
+                    await run_other_tasks(3)
+                    most_queued = max(most_queued, client._connection.queued_messages)
+        assert client._is_closing  # it got an error, and no more of its input is processed
+        assert most_queued <= MAX_QUEUED_ANSWERS + 1
+        sock.close()
+
+
 def test_cancelled_timers_do_not_pile_up() -> None:
     """Guards against timers of answered requests that stay in memory until they would have been due."""
     timers = Timers(Clock())
