Judge private memory in the soak, and play half-sent requests and long hangs

Need: the review's two cases on memory would not have been found by the soak, which compared resident memory with 192 MB four times a second, and had neither clients that send half of a request nor a hang longer than 2 s.

Change: memory is a rule of its own, of the private memory sampled every 50 ms; the tests' seeds run at 48 MB. Two kinds of fault are drawn from a generator of their own, so that the other faults of a seed stay the same.

Floods of whole requests were tried and left out: the stand-ins read attempts up to 0.29 s after the front had written them (its own log of 93 ms at the most after a client left), and reported rules as broken that it kept.

--- a/cometseam/soak/checker.py
+++ b/cometseam/soak/checker.py
@@ -35,7 +35,8 @@
     CLIENT_GONE = "client gone"  # no attempt begins more than 0.1 s after its client disconnected
     TIME_LEFT = "time left"  # an endpoint is given no more time than the client has left
     PROCESS = "process"  # no crash, and no exit with an error or without a SIGTERM
-    RESOURCES = "resources"  # descriptors and memory within their limits
+    RESOURCES = "resources"  # descriptors within their limit
+    MEMORY = "memory"  # private memory within its limit
 
 
 RESUME_WRITE_WINDOW_S = 0.02  # after a stopped process resumes, to finish a write that it had decided on
@@ -329,6 +330,9 @@
             )
             yield Violation(Rule.PROCESS, process_end.at, message)
     for sample in index.history.of(Sampled):
-        if sample.descriptors > index.limits.descriptors or sample.memory > index.limits.memory_mb:
-            message = f"front-{sample.front}: {sample.descriptors} descriptors, {sample.memory:.0f} MB"
+        if sample.descriptors > index.limits.descriptors:
+            message = f"front-{sample.front}: {sample.descriptors} descriptors"
             yield Violation(Rule.RESOURCES, sample.at, message)
+        if sample.memory > index.limits.memory_mb:
+            message = f"front-{sample.front}: {sample.memory:.1f} MB of {index.limits.memory_mb:g}"
+            yield Violation(Rule.MEMORY, sample.at, message)
--- a/cometseam/soak/engine.py
+++ b/cometseam/soak/engine.py
@@ -17,6 +17,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from cometseam.soak.bad_clients import half_send
 from cometseam.soak.checker import Limits, Violation, check
 from cometseam.soak.clients import Client, RequestClass, Target
 from cometseam.soak.discovery import Discovery, EventLog
@@ -33,6 +34,8 @@
 RELOADS_PER_FAULT = 3
 MAX_IDLE_CONNECTIONS = 200
 MAX_DISCOVERY_DELAY_S = 1.0
+# Clients that send the greater part of a request, for a fault of the least and the greatest strength.
+BAD_CLIENTS_RANGE = (10, 60)
 # Endpoint types as the configuration writes them.
 STANDARD = "standard"
 PARENT = "parent"
@@ -228,9 +231,11 @@
                 await front.discovery.take_down(fault.lasts)
             case Kind.CROWD:
                 await self._hold_idle_connections(fault, front)
-            case Kind.HANG:
+            case Kind.HALF_SENT:
+                await self._half_send_requests(fault, front)
+            case Kind.HANG | Kind.LONG_HANG:
                 endpoint = self._pick_endpoint(fault.target)
-                endpoint.hangs_until = time.monotonic() + fault.lasts
+                endpoint.hangs_until = max(endpoint.hangs_until, time.monotonic() + fault.lasts)
                 self._record_fault(fault, endpoint.name, endpoint.hangs_until)
             case Kind.RESET:
                 endpoint = self._pick_endpoint(fault.target)
@@ -284,6 +289,17 @@
                 await _wait_until_listening(front)
         front.has_active_fault = False
 
+    async def _half_send_requests(self, fault: Fault, front: FrontProcess) -> None:
+        """Have clients send the greater part of a request; they leave at the end of the fault."""
+        if not front.is_running:
+            return
+        self._record_fault(fault, front.name, time.monotonic() + fault.lasts)
+        fewest, most = BAD_CLIENTS_RANGE
+        with anyio.move_on_after(fault.lasts):
+            async with anyio.create_task_group() as clients:
+                for _ in range(fewest + int(fault.strength * (most - fewest))):
+                    clients.start_soon(half_send, front.target)
+
     async def _hold_idle_connections(self, fault: Fault, front: FrontProcess) -> None:
         """Hold idle connections to a front for the duration of the fault."""
         streams = []
--- a/cometseam/soak/history.py
+++ b/cometseam/soak/history.py
@@ -135,7 +135,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sampled:
-    """Resources in use by a front's process: open descriptors, and resident memory in MB."""
+    """Resources in use by a front's process: open descriptors, and private memory in MB."""
 
     at: float
     front: int
--- a/cometseam/soak/plan.py
+++ b/cometseam/soak/plan.py
@@ -24,6 +24,8 @@
     HANG = "hang"  # an endpoint answers nothing
     RESET = "reset"  # an endpoint's connections are reset
     LEAVE = "leave"  # clients close their connections with requests open
+    HALF_SENT = "half-sent"  # clients send the greater part of a request and wait
+    LONG_HANG = "long-hang"  # an endpoint answers nothing for longer than any deadline
 
 
 # Relative frequency of each kind.
@@ -38,6 +40,12 @@
     Kind.DISCOVERY_SILENT: (0.5, 3.0), Kind.DISCOVERY_SLOW: (1.0, 4.0), Kind.DISCOVERY_DOWN: (0.2, 3.0),
     Kind.CROWD: (1.0, 3.0), Kind.HANG: (0.3, 2.0),
 }  # fmt: skip
+# Kinds drawn beside the others, from a generator of their own: the other faults of a seed stay the same.
+FURTHER_KINDS = (Kind.HALF_SENT, Kind.LONG_HANG)
+FURTHER_DURATION_RANGES_S = {
+    Kind.HALF_SENT: (1.0, 4.0), Kind.LONG_HANG: (8.0, 60.0),
+}  # fmt: skip
+FURTHER_FAULTS_PER_SECOND = 0.2
 OVERLAP_PROBABILITY = 0.35  # that a fault begins within `OVERLAP_WINDOW_S` of the previous one
 OVERLAP_WINDOW_S = 0.6
 # Faults that may accompany a fault at the same front: a drain while its process is stopped, for example, or
@@ -80,7 +88,23 @@
 
 def draw(seed: int, terms: SoakTerms) -> tuple[Fault, ...]:
     """Return the faults of a seed, ordered by time."""
-    random = Random(seed)
+    faults = [*_draw_faults(Random(seed), terms), *_draw_further_faults(Random(f"further {seed}"), terms)]
+    return tuple(sorted(faults, key=lambda fault: fault.at))
+
+
+def _draw_further_faults(random: Random, terms: SoakTerms) -> list[Fault]:
+    faults: list[Fault] = []
+    at = random.expovariate(FURTHER_FAULTS_PER_SECOND)
+    while at < terms.seconds:
+        kind = random.choice(FURTHER_KINDS)
+        target = random.randrange(terms.fronts * terms.endpoints)
+        duration = random.uniform(*FURTHER_DURATION_RANGES_S[kind])
+        faults.append(Fault(at, kind, target, duration, random.random()))
+        at += random.expovariate(FURTHER_FAULTS_PER_SECOND)
+    return faults
+
+
+def _draw_faults(random: Random, terms: SoakTerms) -> list[Fault]:
     faults: list[Fault] = []
     at = 0.5
     while at < terms.seconds:
@@ -98,4 +122,4 @@
             at += random.uniform(0.0, OVERLAP_WINDOW_S)
         else:
             at += random.expovariate(terms.faults_per_second)
-    return tuple(sorted(faults, key=lambda fault: fault.at))
+    return faults
--- a/cometseam/soak/process.py
+++ b/cometseam/soak/process.py
@@ -12,6 +12,7 @@
 import anyio
 from anyio.abc import Process
 
+from cometseam.counters import memory_bytes_of
 from cometseam.soak.clients import Target
 from cometseam.soak.discovery import Discovery, EventLog
 from cometseam.soak.history import Ended, History, Sampled, Started
@@ -19,7 +20,7 @@
 # SIGKILL follows SIGTERM after the longest deadline, of which at most 3 s count, and 0.7 s more.
 KILL_DELAY_S = 0.7
 MAX_COUNTED_DEADLINE_S = 3.0
-SAMPLE_INTERVAL_S = 0.25
+SAMPLE_INTERVAL_S = 0.05
 
 
 class FrontProcess:
@@ -115,8 +116,8 @@
             try:
                 folder = Path(f"/proc/{self._process.pid}")
                 descriptors = len(list((folder / "fd").iterdir()))
-                pages = int((folder / "statm").read_text().split()[1])
-            except (OSError, IndexError):
+                memory = memory_bytes_of(self._process.pid) / (1 << 20)
+            except (OSError, ValueError):
                 continue
-            sample = Sampled(time.monotonic(), self.target.number, descriptors, pages * 4096 / (1 << 20))
+            sample = Sampled(time.monotonic(), self.target.number, descriptors, memory)
             self._history.add(sample)
--- a/tests/standins/unguarded.py
+++ b/tests/standins/unguarded.py
@@ -20,6 +20,7 @@
 from cometseam.transport import channel, client
 
 EXTRA_TIME_MS = 2000.0  # given to endpoints beyond the time that is left
+LEAKED_BYTES = 64 << 20
 STARTUP_DELAY_S = 0.5  # in which an event can come between the configuration and the first attempt
 
 
@@ -105,12 +106,18 @@
     leaked_descriptors.extend(os.open("/dev/null", os.O_RDONLY) for _ in range(1100))
 
 
+def leak_memory() -> None:
+    """Take more memory than the limit allows."""
+    leaked_memory.extend(os.urandom(LEAKED_BYTES))
+
+
 leaked_descriptors: list[int] = []
+leaked_memory = bytearray()
 GUARDS: dict[str, Callable[[], None]] = {
     "answered": no_refusals, "answered once": answer_twice, "one attempt at a time": no_stop,
     "no effect twice": repeat_all, "drain": ignore_events(EndpointList), "drain at a start": no_confirmation,
     "purge": ignore_events(Purge), "client gone": no_client_checks, "time left": too_much_time,
-    "process": exit_with_error, "resources": leak_descriptors,
+    "process": exit_with_error, "resources": leak_descriptors, "memory": leak_memory,
 }  # fmt: skip
 if "TEST_UNGUARDED" in os.environ and "cometseam" in " ".join(sys.orig_argv):
     GUARDS[os.environ["TEST_UNGUARDED"]]()
--- a/tests/test_half_sent_requests.py
+++ b/tests/test_half_sent_requests.py
@@ -14,7 +14,8 @@
 from cometseam.protocol import frames
 from cometseam.transport.buffers import BUFFER_SIZE_BYTES, REQUEST_QUOTA_DIVISOR, BufferPool, BufferQuota
 from cometseam.transport.client import STALLED_FRAME_MS
-from tests.drive import ENDS, Caller, FrontTestbed, client_request, frame, front_testbed
+from tests.drive import Caller, FrontTestbed, client_request, frame, front_testbed
+from tests.standins.bad_clients import half_send
 from tests.test_endings import client_listener, read_to_end
 
 pytestmark = pytest.mark.anyio
@@ -38,19 +39,6 @@
             await asked.answer("DONE", "tag=4be0c1927d55a6f3,minted=1,why=cached", asked.body)
 
 
-async def half_send(testbed: FrontTestbed, closed_after: list[float]) -> None:
-    """Send the greater part of a request, wait for the connection's end, and note how long that took."""
-    caller, began_at = await testbed.connect_client(), anyio.current_time()
-    try:
-        await caller.send(HALF_SENT)
-        while not await caller.ended():
-            pass
-    except ENDS:
-        pass
-    closed_after.append(anyio.current_time() - began_at)
-    await caller.stream.aclose()
-
-
 async def answers_to(caller: Caller, first_stream: int, count: int, body: bytes = b"") -> list[int]:
     """Send requests one after another; return the codes of the answers until one takes over a second."""
     codes: list[int] = []
@@ -71,7 +59,7 @@
         usual = await testbed.connect_client()
         assert await answers_to(usual, 1, 3) == [1, 1, 1]
         for _ in range(HALF_SENDERS):
-            testbed._tasks.start_soon(half_send, testbed, closed_after)
+            testbed._tasks.start_soon(half_send, testbed, HALF_SENT, closed_after)
         assert await answers_to(usual, 4, 40) == [1] * 40
         newcomer = await testbed.connect_client()
         assert await answers_to(newcomer, 1, 3) == [1, 1, 1]
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -12,7 +12,6 @@
 from contextlib import contextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
-from random import Random
 from typing import cast
 
 import anyio
@@ -30,7 +29,7 @@
 from cometseam.transport.clock import MAX_KEPT_CANCELLED_TIMERS, Clock, Timers
 from cometseam.transport.connection import Connection, OutgoingMessage
 from tests.drive import ENDS, FrontTestbed, client_request, frame, front_testbed
-from tests.drive import Caller as RealCaller
+from tests.standins.bad_clients import flood
 from tests.test_actors import CONFIG, LISTING, Caller, order
 from tests.test_endings import BIG_BYTES, TAG, PeerHarness, client_listener, one_peer, run_other_tasks
 
@@ -38,7 +37,7 @@
 REQUESTS = 20
 MB = 1 << 20
 BAD_CLIENTS = 100
-FLOOD_REQUESTS, FLOOD_BODY_BYTES, FLOOD_S = 100, (8000, 16000), 4.0
+FLOOD_S = 4.0
 REQUEST_TYPES = (OpenPull, PullRequest, Attempt, OutgoingMessage)
 
 
@@ -220,34 +219,6 @@
     assert budget.available == MIN_REQUEST_BYTES
 
 
-async def flood(testbed: FrontTestbed, number: int) -> None:
-    """Send many whole requests at once, read what comes until the connection ends, and begin again."""
-    random = Random(number)
-    while True:
-        with suppress(*ENDS, OSError):
-            caller = await testbed.connect_client()
-            first = (number << 32) + random.getrandbits(30)
-            raw = b"".join(
-                client_request(stream, bytes(random.randint(*FLOOD_BODY_BYTES)), txn=f"{first + stream:016x}")
-                for stream in range(1, FLOOD_REQUESTS + 1)
-            )
-            try:
-                async with anyio.create_task_group() as sending:
-                    sending.start_soon(send_all, caller, raw)
-                    while not await caller.ended():
-                        pass
-                    sending.cancel_scope.cancel()
-            finally:
-                await caller.stream.aclose()
-        await anyio.sleep(0.05)
-
-
-async def send_all(caller: RealCaller, raw: bytes) -> None:
-    """Send as much as the connection takes before it ends."""
-    with suppress(*ENDS):
-        await caller.send(raw)
-
-
 async def answer_all(testbed: FrontTestbed) -> None:
     """Answer each request as a cache that has the object."""
     while True:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,7 @@
 SHORT = SoakTerms(seconds=8.0)
 SEEDS = (3, 10, 13, 16)  # the release before the incident broke a rule on each of them
 CONFIG = json.loads((Path(__file__).parent.parent / "deploy" / "sample.json").read_text())
+CONFIG["limits"]["memory_mb"] = 48  # clients that send half of a request come to it
 SHIM = Path(__file__).parent / "standins" / "unguarded.py"
 MAX_SEEDS = 10  # within which the checker has to notice a disabled guard
 # The rule that a guard protects, where it has another name than the guard.
@@ -71,7 +72,7 @@
 
 @pytest.mark.parametrize("guard", [
     "answered", "answered once", "one attempt at a time", "no effect twice", "drain", "drain at a start",
-    "purge", "client gone", "time left", "process", "resources",
+    "purge", "client gone", "time left", "process", "resources", "memory",
 ])  # fmt: skip
 async def test_checker_reports_a_disabled_guard_within_ten_seeds(
     guard: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
@@ -194,6 +195,8 @@
     assert broken_rules(Ended(9.0, 0, 1, 1, 8.0, False)) == {Rule.PROCESS}
     assert broken_rules(Ended(9.0, 0, 1, 0, 0.0, False)) == {Rule.PROCESS}
     assert broken_rules(Sampled(9.0, 0, 51, 20.0)) == {Rule.RESOURCES}
+    assert broken_rules(Sampled(9.0, 0, 50, 192.0)) == set()
+    assert broken_rules(Sampled(9.0, 0, 50, 192.1)) == {Rule.MEMORY}
 
 
 def test_one_attempt_interrupted_by_a_pause_is_left_out_and_a_second_one_makes_both_count() -> None:
