--- a/cometseam/counters.py
+++ b/cometseam/counters.py
@@ -13,7 +13,9 @@
     Where the system does not tell that, pages of files count as shared.
     """
     with suppress(OSError), open(f"/proc/{process}/smaps_rollup") as file:
-        return 1024 * sum(int(line.split()[1]) for line in file if line.startswith("Private_"))
+        private_kb = sum(int(line.split()[1]) for line in file if line.startswith("Private_"))
+        if private_kb:
+            return 1024 * private_kb
     with open(f"/proc/{process}/statm") as file:
         _, resident, shared, *_ = map(int, file.read().split())
     return (resident - shared) * resource.getpagesize()
