Let the decision module answer a request although the front runs late

Seen by callers: requests answered as failed at their deadline, where a retry is harmless, if the loop ran 8 ms late.

Cause: the attempt's deadline queues a message for the router; the last resort, due 8 ms later, acted at once. Late timers run in one turn, and the last resort came first.

Change: the last resort is a message too, behind the end of the attempt.

Result: the new test stands still past both timers: "errored" before, "shed" now.

--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -29,6 +29,7 @@
     ClientGone,
     Message,
     PlansUpdated,
+    PullOverdue,
     RequestReceived,
 )
 from cometseam.routing.outdated import OutdatedDecisions
@@ -299,6 +300,8 @@
                 self._open_pull(message)
             case AttemptEnded():
                 self._end_attempt(message)
+            case PullOverdue():
+                self._expire_pull(message.number)
             case ClientGone():
                 pull = self._pulls_by_stream.get((message.client, message.stream))
                 if pull is not None:
@@ -371,9 +374,11 @@
                 target_latency,
                 deadline - message.received_at,
             )
-        # Guarantees an answer within the grace period even if this program has a fault.
+        # Guarantees an answer soon after the grace period even if this program has a fault. The message is
+        # handled after the end of an attempt that was due before it, however late both timers run.
         overdue_at = deadline + self._resources.links.answer_grace
-        pull.timer = self._resources.timers.call_at(overdue_at, lambda: self._expire_pull(pull))
+        overdue = PullOverdue(pull.number)
+        pull.timer = self._resources.timers.call_at(overdue_at, lambda: self._mailbox.put_urgent(overdue))
         self._process_event(event)
 
     def _awaits(self, client: Client, stream: int, since: float) -> bool:
@@ -392,8 +397,9 @@
         self._settle_pull(pull, "hung_up")
         self._process_event(i.ClientDisconnected(pull.number))
 
-    def _expire_pull(self, pull: OpenPull) -> None:
-        if pull.unanswered:
+    def _expire_pull(self, number: int) -> None:
+        pull = self._open.get(number)
+        if pull is not None and pull.unanswered:
             self._settle_pull(pull, "overdue")
             pull.client.answer_errored(pull.stream)
             check_invariant(False, "an answer by the cut-off")
--- a/cometseam/routing/messages.py
+++ b/cometseam/routing/messages.py
@@ -27,6 +27,13 @@
     stream: int
 
 
+@dataclass(slots=True)
+class PullOverdue:
+    """The grace period past a pull's deadline is over; the pull may have been answered meanwhile."""
+
+    number: int
+
+
 @dataclass(slots=True)
 class PlansUpdated:
     """The operator's file has been reloaded."""
@@ -62,6 +69,7 @@
     RequestReceived
     | ClientGone
     | AttemptEnded
+    | PullOverdue
     | i.TimerFired
     | i.LoopLagged
     | i.ShuttingDown
--- a/tests/test_waiting_attempts.py
+++ b/tests/test_waiting_attempts.py
@@ -4,10 +4,19 @@
 it took the whole core, and answers came up to 100 ms past their deadline.
 """
 
+import time
+from dataclasses import replace
+from typing import cast
+
 import pytest
 
+from cometseam.logic import Front
+from cometseam.protocol.discovery_events import EndpointList
+from cometseam.routing.actor import Router
 from cometseam.transport.attempt import EndReason
+from cometseam.transport.client import Client
 from cometseam.transport.peer import Peer
+from tests.test_actors import CONFIG, LISTING, Caller, order
 from tests.test_endings import PeerHarness, one_peer, run_other_tasks
 
 pytestmark = pytest.mark.anyio
@@ -68,3 +77,23 @@
         broken = harness.resources.links.max_streams
         assert await harness.end_reasons(broken) == [EndReason.BROKEN] * broken
         await harness.notifier.wait_until(lambda: len(harness.cache.commands) == streams + broken)
+
+
+async def test_request_whose_timers_run_late_is_answered_by_the_decision_module() -> None:
+    """Guards against the router's last resort, which fails a request whose attempt ended in the same turn."""
+    time_left_ms = 300.0
+    async with one_peer() as harness:
+        await harness.start()
+        router = Router(Front(1, CONFIG.settings), CONFIG.names, 100, harness.resources)
+        entries = tuple(replace(entry, address=harness.address) for entry in LISTING.entries)
+        router.apply_changes([EndpointList(1, True, entries)])
+        caller = Caller()
+        harness.tasks.start_soon(router.run)
+        await run_other_tasks()
+        began_at = time.monotonic()
+        assert router.submit_pull(cast(Client, caller), 1, order(time_left_ms, id=1))
+        await harness.cache.next()  # it is never answered
+        # The process stands still until the deadline and the grace period are over: both timers are due.
+        past_grace_s = (time_left_ms + 2.0 * CONFIG.links.answer_grace) / 1000.0
+        time.sleep(max(began_at + past_grace_s - time.monotonic(), 0.0))
+        assert await caller.until(1) == ["1 shed"]
