Move the audit of written attempts out of the router

The router held one more job: remembering since when endpoints are not ready, and logging attempts that are written all the same. It is cometseam/routing/attempt_audit.py now; no behaviour changes.

--- a/cometseam/program.py
+++ b/cometseam/program.py
@@ -68,7 +68,8 @@
         poll_policy,
         confirmation_policy=confirmation_policy,
     )
-    router.read_discovery, router.on_attempt_written = discovery.read_now, discovery.record_attempt
+    router.read_discovery = discovery.read_now
+    router.audit.on_attempt_written = discovery.record_attempt
     resources.confirmation_wait, resources.on_resume = discovery.confirmation_wait, discovery.record_pause
     discovery.detect_process_pause = resources.detect_process_pause
     # Existing objects stay, and pulls leave almost no reference cycles: frequent collections find nothing.
--- a/cometseam/routing/actor.py
+++ b/cometseam/routing/actor.py
@@ -22,7 +22,8 @@
 from cometseam.protocol.frames import PullRequest
 from cometseam.protocol.resp import Answer
 from cometseam.routing import translate
-from cometseam.routing.endpoints import EndpointChanges, EndpointTable
+from cometseam.routing.attempt_audit import AttemptAudit
+from cometseam.routing.endpoints import EndpointTable
 from cometseam.routing.messages import (
     CacheCapacityLease,
     CacheHealthVerdict,
@@ -53,7 +54,6 @@
 # Share of a request's time for which it may wait for discovery; shed later, it has little time left to be
 # served by another front.
 MAX_HELD_TIME_SHARE = 0.4
-MAX_REMEMBERED_ENDPOINTS = 256  # draining or removed endpoints whose time of change is kept, for the log
 
 
 @dataclass(slots=True, eq=False)
@@ -116,10 +116,7 @@
         self._has_list = False
         # Reads and applies any unread discovery events; see `apply_changes`.
         self.read_discovery: Callable[[], None] = lambda: None
-        # Called for each attempt passed to a connection; returns for how many ms the list has been
-        # unconfirmed, None if it is confirmed.
-        self.on_attempt_written: Callable[[], float | None] = lambda: None
-        self._not_ready_since: dict[int, float] = {}  # by draining or removed cache: when this was received
+        self.audit = AttemptAudit(self._endpoints, resources.clock.now)
         self.draining = self._closing = False
         self._tracer = tracer if tracer is not None and tracer.mode is not TraceMode.OFF else None
         self._target_latencies = (
@@ -411,7 +408,7 @@
             outdated.add_purge(change)
         elif isinstance(change, EndpointList):
             changes = self._endpoints.apply(change, self._resources.clock.now(), is_live)
-            self._record_not_ready(changes)
+            self.audit.record_changes(changes)
             for cache in changes.affected:
                 self._remove_outdated_peer(cache)
             is_first_list = not self._has_list and change.is_snapshot
@@ -423,14 +420,6 @@
             self._resources.target_count = len(self._front.edges)
             outdated.caches.update(changes.replaced)
 
-    def _record_not_ready(self, changes: EndpointChanges) -> None:
-        """Keep since when draining and removed caches are known to be so, up to a maximum of them."""
-        for cache in changes.ready:
-            self._not_ready_since.pop(cache, None)
-        self._not_ready_since.update(dict.fromkeys(changes.not_ready, self._resources.clock.now()))
-        while len(self._not_ready_since) > MAX_REMEMBERED_ENDPOINTS:
-            del self._not_ready_since[next(iter(self._not_ready_since))]
-
     def _remove_outdated_peer(self, cache: int) -> None:
         """Remove a cache's peer if the cache is gone or has another address."""
         peer, entry = self._peers.get(cache), self._endpoints.get(cache)
@@ -523,7 +512,7 @@
         attempt = Attempt(pull.number, pull.relay_count, command, pull.request.body(), now, deadline)
         attempt.history = pull.history
         attempt.is_client_waiting = lambda: self._awaits(pull.client, pull.stream, pull.received_at)
-        attempt.on_begin = lambda: self._audit_attempt(relay, pull.request.id)
+        attempt.on_begin = lambda: self.audit.check(relay, pull.request.id)
         if relay.write_within:
             attempt.begin_by = now + relay.write_within
         peer = self._peer_for(relay.cache)
@@ -540,28 +529,6 @@
             COUNTERS.add("relay.no_room")
             self._enqueue_attempt_end(AttemptEnded(attempt, EndReason.UNSENT))
 
-    def _audit_attempt(self, relay: i.Relay, request_id: str) -> None:
-        """Log a request that is written while the list is unconfirmed, or although an endpoint is not ready.
-
-        The latter is sent to an endpoint that drains or is gone, or names one as its source.
-        """
-        unconfirmed_for = self.on_attempt_written()
-        if unconfirmed_for is not None:
-            COUNTERS.add("attempt.unconfirmed")
-            endpoint = self._endpoint_name(relay.cache)
-            log_event("attempt.unconfirmed", request=request_id, endpoint=endpoint, lasted=unconfirmed_for)
-        not_ready = [cache for cache in (relay.cache, relay.source) if not self._endpoints.is_ready(cache)]
-        if not_ready:
-            COUNTERS.add("attempt.after_drain")
-            now = self._resources.clock.now()
-            known_for = max(now - self._not_ready_since.get(cache, now) for cache in not_ready)
-            log_event("attempt.after_drain", request=request_id, endpoint=self._endpoint_name(relay.cache),
-                source=self._endpoint_name(relay.source), after=known_for)  # fmt: skip
-
-    def _endpoint_name(self, cache: int) -> str:
-        entry = self._endpoints.get(cache)
-        return entry.name if entry is not None else f"{cache:016x}"
-
     def _peer_for(self, cache: int) -> Peer | None:
         peer, entry = self._peers.get(cache), self._endpoints.get(cache)
         if peer is None and entry is not None:
