Have a test's rounds last twice the time after which a client counts as stalled

Change: the eight rounds last twice the connect timeout together. What is asked for stays: a client is closed as stalled, and others are served while it is not.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -571,13 +571,16 @@
         while not await count("buffers.short"):
             slow.append(await testbed.connect_client())
             await ask(slow[-1], 100 * len(slow), range(1, 25))
-        # Their further answers find no buffers until a client has read nothing for long enough.
+        # Their further answers find no buffers until a client has read nothing for the connect timeout: the
+        # rounds together last twice that, however few clients fill the pool and however quick they are.
         streams = iter(range(25, 33))
+        connect_timeout_s = testbed.config["settings"]["ceilings"]["dialTimeout"] / 1000.0
+        round_s = 2.0 * connect_timeout_s / len(range(25, 33))
         while not await count("client.stalled"):
             stream = next(streams)
             for number, caller in enumerate(slow, 1):
                 await ask(caller, 100 * number, range(stream, stream + 1))
-            await anyio.sleep(0.05)
+            await anyio.sleep(round_s)
         quick = await testbed.connect_client()
         for stream in range(1, 1000):
             await quick.send(client_request(stream, ram="1"))
