--- a/cometseam/logic.py
+++ b/cometseam/logic.py
@@ -209,7 +209,7 @@
         self.last_request_at, self.workload = now, workload
         # The cache that was last given a copy, and until when that copy is fresh.
         self.cached_at: tuple[Server, float] | None = None
-        self.request_gaps = self.NO_GAPS  # replaced, never changed; an array takes less than half of a tuple
+        self.request_gaps = self.NO_GAPS  # replaced, never changed
 
 
 class PendingPull:
